--- /dev/null
+++ b/agent/feed.go
@@ -0,0 +1,145 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"robinstack/statekv"
+)
+
+// Caller reaches the services of all controllers.
+type Caller interface {
+	Call(ctx context.Context, host, method string, args, reply any) error
+}
+
+// Feed follows what all agents know about their machines. It serves to track
+// tasks that were placed, not to place them: that goes by sampling.
+type Feed struct {
+	call   Caller
+	mirror *statekv.Mirror
+	hosts  []string
+	minRev func() uint64
+	onNews func([]Entry)
+
+	mu      sync.Mutex
+	entries map[string]Entry
+	acks    map[string]ack
+}
+
+// ack says up to which state revision an agent is known to have caught up.
+type ack struct {
+	instance uint64
+	rev      uint64
+	stateOK  bool
+	at       time.Time
+}
+
+// NewFeed returns a feed; minRev is the highest epoch that the agents must
+// know of before they answer, onNews gets every change.
+func NewFeed(call Caller, mirror *statekv.Mirror, hosts []string, minRev func() uint64, onNews func([]Entry)) *Feed {
+	return &Feed{call: call, mirror: mirror, hosts: hosts, minRev: minRev, onNews: onNews, entries: map[string]Entry{}, acks: map[string]ack{}}
+}
+
+// Run follows all agents until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	for _, h := range f.hosts {
+		duties.Go(func() { f.followHost(ctx, h) })
+	}
+	duties.Wait()
+}
+
+func (f *Feed) followHost(ctx context.Context, host string) {
+	var instance, since uint64
+	for ctx.Err() == nil {
+		req := WatchRequest{Instance: instance, Since: since, MinRev: f.minRev(), Wait: 2 * time.Second}
+		var reply WatchReply
+		cctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+		err := f.call.Call(cctx, host, "Agent.Watch", req, &reply)
+		cancel()
+		if err != nil {
+			slog.Debug("following an agent", "host", host, "err", err)
+			f.mu.Lock()
+			a := f.acks[host]
+			a.stateOK = false
+			f.acks[host] = a
+			f.mu.Unlock()
+			select {
+			case <-ctx.Done():
+			case <-time.After(400 * time.Millisecond):
+			}
+			continue
+		}
+		instance, since = reply.Instance, reply.Ver
+		var news []Entry
+		f.mu.Lock()
+		f.acks[host] = ack{instance: reply.Instance, rev: req.MinRev, stateOK: reply.StateOK, at: time.Now()}
+		for _, e := range reply.Entries {
+			old, ok := f.entries[e.Machine]
+			if ok && (old.Rev > e.Rev || old.Rev == e.Rev && old.Ver >= e.Ver) {
+				continue
+			}
+			f.entries[e.Machine] = e
+			news = append(news, e)
+		}
+		f.mu.Unlock()
+		f.onNews(news)
+	}
+}
+
+// Entries returns all machines that are not gone, as last heard of. Machines
+// whose key has been removed are dropped: their tasks are proven gone.
+func (f *Feed) Entries() []Entry {
+	rev := f.mirror.Rev()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]Entry, 0, len(f.entries))
+	for name, e := range f.entries {
+		if _, ok := f.mirror.Get(statekv.MachinePrefix + name); e.Gone || !ok && rev > e.Rev {
+			delete(f.entries, name)
+			continue
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// Owner returns the host that a machine's latest entry came from.
+func (f *Feed) Owner(machine string) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.entries[machine]
+	return e.Host, ok && !e.Gone
+}
+
+// SettledSince reports whether everything that may run on a machine, according
+// to its key, is in the latest entry, and its owner refuses commits that were
+// sent under epochs before the given one.
+func (f *Feed) SettledSince(kv statekv.KV, epoch uint64) bool {
+	var key MachineKey
+	if json.Unmarshal(kv.Value, &key) != nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.entries[kv.Key[len(statekv.MachinePrefix):]]
+	a := f.acks[key.Host]
+	return ok && e.Rev == kv.Rev && e.Settled && a.instance == key.Instance && a.rev >= epoch
+}
+
+// PeersServed counts the other agents that reported lately that the state
+// service serves them.
+func (f *Feed) PeersServed(self string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for host, a := range f.acks {
+		if host != self && a.stateOK && time.Since(a.at) < 4*time.Second {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/agent/machine.go
@@ -0,0 +1,232 @@
+package agent
+
+import (
+	"time"
+
+	"robinstack/job"
+	"robinstack/worker"
+)
+
+// tokenBits is the part of a token that an owner may raise by itself; the
+// revision of the machine's key is above it.
+const tokenBits = 20
+
+type taskKey struct {
+	id      string
+	attempt uint64
+}
+
+// task is a task that is on a machine, or may be, or has room reserved there.
+type task struct {
+	ref       TaskRef
+	id        string
+	slot      string
+	spec      *job.Spec // nil until the job's record has been read
+	verify    bool      // read the record (again): the job may be over
+	state     string
+	cause     string
+	saved     bool
+	seen      bool // a report has shown it
+	sent      bool
+	sentToken uint64
+	fence     uint64 // token that a report must show before a copy of the start is certainly dead
+	stop      bool
+	grace     time.Duration
+	stopSent  time.Time
+	forget    bool
+	holdUntil time.Time
+	result    chan string // verdict for the waiting commit, buffered
+}
+
+const stateHeld = "held"
+
+func (t *task) uses() bool { return t.state != worker.Ended }
+
+// settle gives the waiting commit its verdict.
+func (t *task) settle(verdict string) {
+	if t.result != nil {
+		t.result <- verdict
+		t.result = nil
+	}
+}
+
+// machine is a machine that this controller owns. The agent's mutex guards it.
+type machine struct {
+	name      string
+	address   string
+	typeName  string
+	zone      string
+	spot      bool
+	rev       uint64
+	counter   uint64
+	seenToken uint64
+	session   uint64
+	seq       uint64
+	tasks     map[taskKey]*task
+	images    map[string]time.Time
+	settled   bool
+	draining  bool
+	removing  bool
+	gone      bool
+	silent    bool
+	faulty    bool
+	failures  map[string]time.Time // jobs whose tasks failed here
+	noticeAt  time.Time            // when the cloud takes it; zero: no notice
+	heard     time.Time
+	answerEnd time.Time // last moment at which anyone may have answered its worker
+	idleSince time.Time
+	ver       uint64
+	kick      chan struct{}
+	quit      chan struct{}
+	retryAt   time.Time
+}
+
+func (m *machine) token() uint64 { return m.rev<<tokenBits + m.counter }
+
+// unfenced reports whether an unanswered command may still be under way.
+func (m *machine) unfenced() bool { return m.seenToken < m.token() }
+
+func (m *machine) newer(r *worker.Report) bool {
+	return r.Session > m.session || r.Session == m.session && r.Seq > m.seq
+}
+
+// room is what is free; known is false while a task's needs are unknown.
+func (m *machine) room(capacity job.Need) (free job.Need, known bool) {
+	free = capacity
+	for _, t := range m.tasks {
+		if !t.uses() {
+			continue
+		}
+		if t.spec == nil {
+			return job.Need{}, false
+		}
+		free = free.Add(t.spec.Need, -1)
+	}
+	return free, true
+}
+
+// apply brings the tasks up to date from a report and returns whether anything
+// changed. executed is the token of the command that the report answers, or 0.
+func (m *machine) apply(r *worker.Report, now time.Time, executed uint64) bool {
+	if !m.newer(r) {
+		return false
+	}
+	changed := r.Session != m.session || m.silent
+	if r.Session > m.session && m.session != 0 {
+		// The worker's lease ran out: it killed and forgot everything, and
+		// commands for the earlier session are refused from now on.
+		for k, t := range m.tasks {
+			if t.seen || t.sent {
+				t.settle(Refused)
+				delete(m.tasks, k)
+			}
+		}
+	}
+	m.session, m.seq, m.heard, m.silent = r.Session, r.Seq, now, false
+	m.seenToken = max(m.seenToken, r.Token)
+	m.address = r.Address
+	if r.NoticeS != nil && m.noticeAt.IsZero() {
+		m.noticeAt, changed = now.Add(time.Duration(*r.NoticeS*float64(time.Second))), true
+	}
+	if !m.settled && r.Token >= m.rev<<tokenBits {
+		m.settled, m.answerEnd, changed = true, now, true
+	}
+	listed := make(map[taskKey]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		w := &r.Tasks[i]
+		key := taskKey{w.ID, w.Attempt}
+		listed[key] = true
+		t := m.tasks[key]
+		if t == nil {
+			jobID, index, ok := job.SplitTaskID(w.ID)
+			if !ok {
+				continue
+			}
+			t = &task{ref: TaskRef{Job: jobID, Index: index, Attempt: w.Attempt}, id: w.ID, verify: true}
+			m.tasks[key] = t
+		}
+		if t.state != w.State || t.cause != w.Cause || t.saved != w.Saved || !t.seen {
+			changed = true
+		}
+		t.state, t.cause, t.saved, t.seen, t.sent = w.State, w.Cause, w.Saved, true, true
+		m.learn(t, now)
+	}
+	for k, t := range m.tasks {
+		if listed[k] {
+			continue
+		}
+		// A report without the task proves it gone if it was there before. If
+		// its start was sent, the worker must have answered that very command
+		// or have seen a token under which the command is dead.
+		neverStarted := t.sent && !t.seen && (r.Token > t.sentToken || executed != 0 && executed == t.sentToken)
+		if t.seen || neverStarted {
+			t.settle(Refused)
+			delete(m.tasks, k)
+			changed = true
+		}
+	}
+	busy := false
+	for _, t := range m.tasks {
+		busy = busy || t.uses()
+	}
+	if busy {
+		m.idleSince = time.Time{}
+	} else if m.idleSince.IsZero() {
+		m.idleSince, changed = now, true
+	}
+	return changed
+}
+
+// learn takes note of what a task's state says about its machine.
+func (m *machine) learn(t *task, now time.Time) {
+	switch t.state {
+	case worker.Ended:
+		switch t.cause {
+		case worker.NoRoom, worker.Busy, worker.NoSuch:
+			// Refused by the worker: it never ran, so there is nothing to record.
+			t.settle(Refused)
+			t.forget = true
+			return
+		case worker.Failed:
+			m.failures[t.ref.Job] = now
+			m.faulty = m.faulty || len(m.failures) >= 2
+		case worker.Done:
+			clear(m.failures)
+		}
+	case worker.Fetching:
+	default:
+		if t.spec != nil {
+			m.images[t.spec.Image] = now
+		}
+	}
+	t.settle(Started)
+}
+
+// orders lists the commands that are due. Starts go only into direct commands:
+// they are answered by a report, so it is known whether they were carried out.
+func (m *machine) orders(now time.Time, direct bool) []worker.Order {
+	var stops, forgets, starts []worker.Order
+	for _, t := range m.tasks {
+		switch {
+		case t.state == worker.Ended:
+			// A copy of the start that is still under way would start the
+			// task anew after its forget.
+			if t.forget && m.seenToken >= t.fence {
+				forgets = append(forgets, worker.Forget(t.id, t.ref.Attempt))
+			}
+		case t.stop && (t.seen || t.sent) && (!direct || now.Sub(t.stopSent) > time.Second):
+			grace := t.grace
+			if !t.stopSent.IsZero() && now.Sub(t.stopSent) > grace+5*time.Second {
+				grace = 0
+			}
+			stops = append(stops, worker.Stop(t.id, t.ref.Attempt, grace))
+			if t.stopSent.IsZero() {
+				t.stopSent = now
+			}
+		case direct && t.state == Starting && !t.sent && m.settled && !m.unfenced():
+			t.sent, t.sentToken = true, m.token()
+			starts = append(starts, worker.Start(t.id, t.ref.Attempt))
+		}
+	}
+	return append(append(stops, forgets...), starts...)
+}
--- /dev/null
+++ b/agent/wire.go
@@ -0,0 +1,153 @@
+package agent
+
+import (
+	"time"
+
+	"robinstack/job"
+)
+
+// Request describes what a placer looks for.
+type Request struct {
+	Spec    job.Spec
+	Slot    string
+	Epoch   uint64   // revision of the slot's key: later placers outrank earlier ones
+	Zones   []string // zones that are allowed right now; nil: any
+	Avoid   []string // machines on which the job failed
+	Tasks   int      // tasks that look for a place
+	Share   float64  // share of the owned machines to sample (the paper's N_p)
+	Elapsed time.Duration
+}
+
+// Candidate is a machine that passed the filters, with its score.
+type Candidate struct {
+	Machine  string
+	Host     string
+	Rev      uint64
+	Zone     string
+	Fits     int // how many of the job's tasks have room
+	Score    float64
+	HasImage bool
+}
+
+// Sample is the answer to a sampling request.
+type Sample struct {
+	Candidates []Candidate
+	Drawn      int
+	Exhausted  bool // every owned machine was drawn without finding enough
+}
+
+// TaskRef names one attempt at a task.
+type TaskRef struct {
+	Job     string
+	Index   int
+	Attempt uint64
+}
+
+// CommitRequest asks the owner of a machine to start tasks on it.
+type CommitRequest struct {
+	Request
+	Machine string
+	Rev     uint64
+	Refs    []TaskRef
+	Hold    bool // reserve only, for a gang that is being assembled
+
+	StewardEpoch uint64 // of the steward that permitted it, for a team with a limit
+}
+
+// Verdicts on a commit.
+const (
+	Started   = "started"   // the worker reported the task
+	Held      = "held"      // reserved
+	Refused   = "refused"   // certainly not started and never will be
+	Unsettled = "unsettled" // sent; the machine's entry will show what became of it
+)
+
+// CommitReply has a verdict for each task.
+type CommitReply struct {
+	Verdicts []string
+	Why      string
+	Ver      uint64
+	Rev      uint64
+}
+
+// StopRequest asks for tasks to be stopped or, once ended and recorded, forgotten.
+type StopRequest struct {
+	Items []StopItem
+}
+
+// StopItem names a task on a machine.
+type StopItem struct {
+	Machine string
+	TaskRef
+	Grace  time.Duration
+	Forget bool
+}
+
+// VoidRequest makes commits harmless that may still be under way.
+type VoidRequest struct{ Refs []TaskRef }
+
+// VoidReply says which of them were on a machine already.
+type VoidReply struct {
+	Present []bool
+	Ver     uint64
+}
+
+// WatchRequest asks for the machines that changed.
+type WatchRequest struct {
+	Instance uint64 // life of the agent that Since belongs to
+	Since    uint64
+	MinRev   uint64 // state revision that the agent must have seen before it answers
+	Wait     time.Duration
+}
+
+// WatchReply lists the changes.
+type WatchReply struct {
+	Host     string
+	Instance uint64
+	Ver      uint64
+	StateOK  bool
+	Entries  []Entry
+}
+
+// Entry is what an agent knows about one of its machines.
+type Entry struct {
+	Machine  string
+	Host     string
+	Rev      uint64 // revision of the machine's key under this owner
+	Ver      uint64
+	Type     string
+	Zone     string
+	Spot     bool
+	Settled  bool // no earlier owner's command can arrive any more
+	Draining bool
+	Silent   bool
+	Faulty   bool
+	Gone     bool
+	Notice   bool
+	Idle     time.Duration // time without tasks, when the entry was made
+	Tasks    []TaskEntry
+}
+
+// TaskEntry is a task on a machine.
+type TaskEntry struct {
+	TaskRef
+	Slot  string
+	Team  string
+	Need  job.Need
+	Known bool // the job's record has been read
+	State string
+	Cause string
+	Saved bool
+}
+
+// Starting is the state of a task whose start no report has shown yet.
+const Starting = "starting"
+
+// MachinesRequest names machines, for draining or after their deletion.
+type MachinesRequest struct {
+	Names []string
+	On    bool
+}
+
+// MachinesReply names those for which the request was carried out.
+type MachinesReply struct{ Names []string }
--- /dev/null
+++ b/cmd/robinstack/main.go
@@ -0,0 +1,118 @@
+// Command robinstack is a cluster scheduler's controller.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"robinstack/config"
+	"robinstack/controller"
+	"robinstack/policy"
+)
+
+// version is the release that this tree leads to.
+const version = "0.1.0"
+
+// errUsage marks errors in what the operator gave.
+var errUsage = errors.New("invalid settings")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "robinstack:", err)
+		if errors.Is(err, errUsage) {
+			os.Exit(2)
+		}
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var settingsPath string
+	root := &cobra.Command{
+		Use:           "robinstack --config FILE",
+		Short:         "Schedules jobs on rented machines",
+		Long:          "robinstack runs one controller of the service, until it is ended. Settings come from the platform's file.",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if settingsPath == "" {
+				return fmt.Errorf("%w: --config is missing", errUsage)
+			}
+			settings, err := config.Load(settingsPath)
+			if err != nil {
+				return fmt.Errorf("%w: %w", errUsage, err)
+			}
+			startLog()
+			if settings.MemoryBytes > 0 {
+				debug.SetMemoryLimit(settings.MemoryBytes * 7 / 10)
+			}
+			return controller.New(settings, policy.Default()).Run(cmd.Context())
+		},
+	}
+	root.Flags().StringVar(&settingsPath, "config", "", "the platform's settings file (JSON)")
+	root.AddCommand(checkCommand(), statusCommand(), &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), version) },
+	})
+	return root
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "check FILE", Short: "Check a settings file", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, err := config.Load(args[0])
+			if err != nil {
+				return fmt.Errorf("%w: %w", errUsage, err)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s is valid: %s, %d peers, %d teams\n", args[0], s.Host, len(s.Peers), len(s.Teams))
+			return nil
+		},
+	}
+}
+
+func statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "status ADDRESS", Short: "Show who holds what, as JSON", Args: cobra.ExactArgs(1),
+		Long: "status prints the status page of the controller that listens on ADDRESS (host:port).",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			client := http.Client{Timeout: 5 * time.Second}
+			resp, err := client.Get("http://" + args[0] + "/status.json")
+			if err != nil {
+				return fmt.Errorf("reading the status: %w", err)
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				return fmt.Errorf("reading the status: %s", resp.Status)
+			}
+			_, err = io.Copy(cmd.OutOrStdout(), resp.Body)
+			return err
+		},
+	}
+}
+
+func startLog() {
+	level := slog.LevelInfo
+	switch strings.ToLower(os.Getenv("LOG_LEVEL")) {
+	case "error":
+		level = slog.LevelError
+	case "debug":
+		level = slog.LevelDebug
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,232 @@
+// Package config reads the settings file that the platform hands to a
+// controller and checks it.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+)
+
+// Peer is another controller of the same service.
+type Peer struct {
+	Host    string
+	Zone    string
+	Address string
+}
+
+// Team holds the amounts guaranteed to a team and its limits; 0 means none.
+type Team struct {
+	Name    string  `json:"name"`
+	CPUs    float64 `json:"cpus"`
+	CPUsMax float64 `json:"cpus_max"`
+	GPUs    float64 `json:"gpus"`
+	GPUsMax float64 `json:"gpus_max"`
+}
+
+// Objective is one of the users' aims.
+type Objective struct {
+	Kind   string
+	Class  string
+	Within time.Duration
+	Share  float64
+	Times  float64
+}
+
+// Workers holds the timing the workers keep to.
+type Workers struct {
+	Report     time.Duration
+	Lease      time.Duration
+	GangWait   time.Duration
+	GangPeer   time.Duration
+	CancelGone time.Duration
+}
+
+// State holds the limits of the state service.
+type State struct {
+	RPS        float64
+	WriteRPS   float64
+	ValueBytes int
+	TxnOps     int
+}
+
+// Settings is everything the platform tells a controller.
+type Settings struct {
+	Host           string
+	Zone           string
+	Listen         string
+	PeerListen     string
+	Peers          []Peer
+	CloudAddress   string
+	StateAddress   string
+	Controllers    int
+	Zones          []string
+	Teams          map[string]Team
+	Objectives     []Objective
+	Workers        Workers
+	State          State
+	CloudRPS       float64
+	CloudListLag   time.Duration
+	MemoryBytes    int64
+	MaxConnections int
+	ClockOff       time.Duration
+}
+
+type wireSettings struct {
+	Host       string `json:"host_name"`
+	Zone       string `json:"area"`
+	Listen     string `json:"listen"`
+	PeerListen string `json:"peer_bind"`
+	Peers      []struct {
+		Host    string `json:"host_name"`
+		Zone    string `json:"area"`
+		Address string `json:"address"`
+	} `json:"peers"`
+	External struct {
+		Cloud string `json:"cloud"`
+		State string `json:"state"`
+	} `json:"external"`
+	Facts struct {
+		Size       int      `json:"size"`
+		Zones      []string `json:"zones"`
+		Teams      []Team   `json:"teams"`
+		Objectives []struct {
+			Kind    string  `json:"kind"`
+			Class   string  `json:"class"`
+			WithinS float64 `json:"within_s"`
+			Share   float64 `json:"share"`
+			Times   float64 `json:"times"`
+		} `json:"objectives"`
+		Workers struct {
+			ReportS   float64 `json:"report_s"`
+			LeaseS    float64 `json:"lease_s"`
+			GangWaitS float64 `json:"gang_wait_s"`
+			GangPeerS float64 `json:"gang_peer_s"`
+			CancelS   float64 `json:"cancel_s"`
+		} `json:"workers"`
+		State struct {
+			RPS      float64 `json:"rps"`
+			WriteRPS float64 `json:"write_rps"`
+			ValueKB  float64 `json:"value_kb"`
+			TxnOps   int     `json:"txn_ops"`
+		} `json:"state"`
+		Cloud struct {
+			RPS      float64 `json:"rps"`
+			ListLagS float64 `json:"list_lag_s"`
+		} `json:"cloud"`
+		Quota struct {
+			Cores          float64 `json:"cores"`
+			MemoryMB       float64 `json:"memory_mb"`
+			MaxConnections int     `json:"max_connections"`
+		} `json:"quota"`
+		ClockOffMS float64 `json:"clock_off_ms"`
+	} `json:"facts"`
+}
+
+// Seconds turns an amount of seconds from the wire into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Load reads and checks the settings file.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading settings: %w", err)
+	}
+	s, err := Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse checks settings given as JSON.
+func Parse(raw []byte) (*Settings, error) {
+	var w wireSettings
+	if err := json.NewDecoder(bytes.NewReader(raw)).Decode(&w); err != nil {
+		return nil, fmt.Errorf("not valid JSON: %w", err)
+	}
+	f := &w.Facts
+	s := &Settings{
+		Host: w.Host, Zone: w.Zone, Listen: w.Listen, PeerListen: w.PeerListen,
+		CloudAddress: w.External.Cloud, StateAddress: w.External.State,
+		Controllers: f.Size, Zones: f.Zones, Teams: map[string]Team{},
+		Workers: Workers{
+			Report: Seconds(f.Workers.ReportS), Lease: Seconds(f.Workers.LeaseS),
+			GangWait: Seconds(f.Workers.GangWaitS), GangPeer: Seconds(f.Workers.GangPeerS),
+			CancelGone: Seconds(f.Workers.CancelS),
+		},
+		State:    State{RPS: f.State.RPS, WriteRPS: f.State.WriteRPS, ValueBytes: int(f.State.ValueKB * 1024), TxnOps: f.State.TxnOps},
+		CloudRPS: f.Cloud.RPS, CloudListLag: Seconds(f.Cloud.ListLagS),
+		MemoryBytes: int64(f.Quota.MemoryMB * (1 << 20)), MaxConnections: f.Quota.MaxConnections,
+		ClockOff: time.Duration(f.ClockOffMS * float64(time.Millisecond)),
+	}
+	var errs []error
+	need := func(ok bool, field, what string) {
+		if !ok {
+			errs = append(errs, fmt.Errorf("%s: %s", field, what))
+		}
+	}
+	address := func(field, a string) {
+		_, _, err := net.SplitHostPort(a)
+		need(err == nil, field, fmt.Sprintf("%q is not host:port", a))
+	}
+	need(s.Host != "", "host_name", "is missing")
+	address("listen", s.Listen)
+	address("peer_bind", s.PeerListen)
+	address("external.cloud", s.CloudAddress)
+	address("external.state", s.StateAddress)
+	seen := map[string]bool{s.Host: true}
+	for i, p := range w.Peers {
+		field := fmt.Sprintf("peers[%d]", i)
+		need(p.Host != "" && !seen[p.Host], field+".host_name", "is missing or repeated")
+		seen[p.Host] = true
+		address(field+".address", p.Address)
+		s.Peers = append(s.Peers, Peer{Host: p.Host, Zone: p.Zone, Address: p.Address})
+	}
+	for i, t := range f.Teams {
+		field := fmt.Sprintf("facts.teams[%d]", i)
+		_, again := s.Teams[t.Name]
+		need(t.Name != "" && !again, field+".name", "is missing or repeated")
+		need(t.CPUs >= 0 && t.CPUsMax >= 0 && t.GPUs >= 0 && t.GPUsMax >= 0, field, "has a negative amount")
+		s.Teams[t.Name] = t
+	}
+	for _, o := range f.Objectives {
+		s.Objectives = append(s.Objectives, Objective{Kind: o.Kind, Class: o.Class, Within: Seconds(o.WithinS), Share: o.Share, Times: o.Times})
+	}
+	need(s.Workers.Report > 0, "facts.workers.report_s", "must be above 0")
+	need(s.Workers.Lease > s.Workers.Report, "facts.workers.lease_s", "must be above report_s")
+	need(s.Workers.CancelGone > s.Workers.Lease, "facts.workers.cancel_s", "must be above lease_s")
+	need(s.Workers.GangWait > 0, "facts.workers.gang_wait_s", "must be above 0")
+	need(s.State.RPS > 0, "facts.state.rps", "must be above 0")
+	need(s.State.WriteRPS > 0, "facts.state.write_rps", "must be above 0")
+	need(s.State.ValueBytes >= 4096, "facts.state.value_kb", "must be at least 4")
+	need(s.State.TxnOps >= 10, "facts.state.txn_ops", "must be at least 10")
+	need(s.CloudRPS > 0, "facts.cloud.rps", "must be above 0")
+	if s.Controllers == 0 {
+		s.Controllers = len(s.Peers) + 1
+	}
+	return s, errors.Join(errs...)
+}
+
+// HoldTime is how long an owner that cannot renew its state lease goes on
+// answering its workers. Whatever it keeps alive must still be gone within
+// the cancellation time once the worker's own lease has run out as well.
+func (s *Settings) HoldTime() time.Duration {
+	return max(0, s.Workers.CancelGone-s.Workers.Lease-4*time.Second)
+}
+
+// GoneAfter is the time after which a worker that nobody answers any more has
+// ended its tasks, clock drift and delivery of the last answer included.
+func (s *Settings) GoneAfter() time.Duration {
+	return s.Workers.Lease + s.Workers.Lease/200 + 1500*time.Millisecond
+}
+
+// Limited reports whether a team has a limit that its tasks must not pass.
+func (s *Settings) Limited(team string) bool {
+	t := s.Teams[team]
+	return t.CPUsMax > 0 || t.GPUsMax > 0
+}
--- /dev/null
+++ b/controller/controller.go
@@ -0,0 +1,157 @@
+// Package controller puts the parts of a controller together.
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/rpc"
+	"strings"
+	"sync"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/cloud"
+	"robinstack/config"
+	"robinstack/gateway"
+	"robinstack/job"
+	"robinstack/peer"
+	"robinstack/placer"
+	"robinstack/policy"
+	"robinstack/statekv"
+	"robinstack/steward"
+	"robinstack/worker"
+)
+
+// nodeTTL is how long the state service keeps a controller that does not renew.
+const nodeTTL = 4 * time.Second
+
+// Controller is one controller process.
+type Controller struct {
+	settings  *config.Settings
+	policy    *policy.Policy
+	store     statekv.Store
+	cloud     cloud.API
+	workers   worker.Commander
+	catalogue *cloud.Catalogue
+	gateway   *gateway.Gateway
+}
+
+// New returns a controller that reaches the outside systems over the network.
+func New(settings *config.Settings, pol *policy.Policy) *Controller {
+	share := 1 / float64(max(1, settings.Controllers))
+	c := &Controller{
+		settings: settings, policy: pol, catalogue: &cloud.Catalogue{},
+		store:   statekv.NewClient(settings.StateAddress, 0.85*share*settings.State.RPS, 0.9*share*settings.State.WriteRPS),
+		cloud:   cloud.NewClient(settings.CloudAddress, settings.CloudRPS/2),
+		workers: worker.NewClient(),
+	}
+	c.gateway = gateway.New(settings, c.store, c.catalogue)
+	return c
+}
+
+// Run serves until ctx ends. When the state lease is lost, all roles are: the
+// controller then begins a new life without ending the process.
+func (c *Controller) Run(ctx context.Context) error {
+	ln, err := net.Listen("tcp4", c.settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listening for users and workers: %w", err)
+	}
+	go func() {
+		for ctx.Err() == nil {
+			if err := c.live(ctx); err != nil && ctx.Err() == nil {
+				slog.Info("life ended", "err", err)
+			}
+			c.gateway.SetLife(nil)
+			select {
+			case <-ctx.Done():
+			case <-time.After(300 * time.Millisecond):
+			}
+		}
+	}()
+	return c.gateway.Serve(ctx, ln)
+}
+
+// live runs one life: from registration until the state lease is lost.
+func (c *Controller) live(parent context.Context) error {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	var (
+		ag *agent.Agent
+		pl *placer.Placer
+		st *steward.Steward
+	)
+	mirror := statekv.NewMirror(c.store, statekv.FleetPrefix, statekv.RootPrefix, func(events []statekv.Event) {
+		if events == nil {
+			go pl.Recheck(ctx)
+			return
+		}
+		for _, e := range events {
+			if strings.HasPrefix(e.Key(), job.OpenPrefix) {
+				pl.OnJobEvent(e)
+			} else if slot, ok := strings.CutPrefix(e.Set, statekv.SlotPrefix); ok {
+				ag.SlotMoved(slot)
+			}
+		}
+	})
+	if err := mirror.Load(ctx); err != nil {
+		return fmt.Errorf("reading the fleet's keys: %w", err)
+	}
+	if kv, ok := mirror.Get(statekv.TypesKey); ok && len(c.catalogue.Types()) == 0 {
+		var types []cloud.MachineType
+		if json.Unmarshal(kv.Value, &types) == nil {
+			c.catalogue.Set(types)
+		}
+	}
+	member, err := statekv.Join(ctx, c.store, mirror, c.settings.Host, nodeTTL)
+	if err != nil {
+		return err
+	}
+	slog.Info("life begun", "host", member.Host, "instance", member.Instance)
+
+	server := rpc.NewServer()
+	addresses := map[string]string{}
+	hosts := []string{c.settings.Host}
+	for _, p := range c.settings.Peers {
+		addresses[p.Host] = p.Address
+		hosts = append(hosts, p.Host)
+	}
+	network := peer.New(c.settings.Host, addresses, server)
+	defer network.Close()
+	ag = agent.New(c.settings, c.store, mirror, member, c.workers, c.catalogue.Types)
+	pl = placer.New(c.settings, c.policy, c.store, mirror, member, network)
+	st = steward.New(c.settings, c.policy, mirror, member, network, c.cloud, c.catalogue)
+	for name, service := range map[string]any{"Agent": agent.NewService(ag), "Placer": placer.NewService(pl), "Steward": steward.NewService(st)} {
+		if err := server.RegisterName(name, service); err != nil {
+			return fmt.Errorf("registering %s: %w", name, err)
+		}
+	}
+	feed := agent.NewFeed(network, mirror, hosts, func() uint64 { return max(pl.Epoch(), st.Epoch()) }, func(entries []agent.Entry) {
+		pl.OnEntries(entries)
+		st.OnEntries(entries)
+	})
+	ln, err := net.Listen("tcp4", c.settings.PeerListen)
+	if err != nil {
+		return fmt.Errorf("listening for peers: %w", err)
+	}
+	var duties sync.WaitGroup
+	duties.Go(func() { mirror.Run(ctx) })
+	duties.Go(func() { peer.Serve(ctx, ln, server) })
+	lost := make(chan error, 1)
+	duties.Go(func() { lost <- member.Keep(ctx) })
+	if err := mirror.Wait(ctx, member.Instance); err != nil {
+		return err
+	}
+	duties.Go(func() { ag.Run(ctx) })
+	duties.Go(func() { feed.Run(ctx) })
+	duties.Go(func() { pl.Run(ctx, feed) })
+	duties.Go(func() { st.Run(ctx, feed) })
+	c.gateway.SetLife(&gateway.Life{Member: member, Mirror: mirror, Agent: ag, Placer: pl, Steward: st, Feed: feed, Call: network})
+	err = <-lost
+	c.gateway.SetLife(nil)
+	cancel()
+	duties.Wait()
+	return err
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,343 @@
+// Package gateway is what users, workers and operators reach over HTTP.
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"robinstack/agent"
+	"robinstack/cloud"
+	"robinstack/config"
+	"robinstack/job"
+	"robinstack/placer"
+	"robinstack/statekv"
+	"robinstack/steward"
+	"robinstack/worker"
+)
+
+// Life is the parts of the controller that end with its state lease.
+type Life struct {
+	Member  *statekv.Member
+	Mirror  *statekv.Mirror
+	Agent   *agent.Agent
+	Placer  *placer.Placer
+	Steward *steward.Steward
+	Feed    *agent.Feed
+	Call    agent.Caller
+}
+
+// Gateway answers HTTP requests.
+type Gateway struct {
+	settings  *config.Settings
+	store     statekv.Store
+	catalogue *cloud.Catalogue
+	life      atomic.Pointer[Life]
+	app       *fiber.App
+
+	mu     sync.Mutex
+	finals map[string]job.Final // answers that never change any more
+}
+
+// maxFinals bounds the cache of final answers.
+const maxFinals = 20_000
+
+const maxBody = 64 << 10
+
+// New returns a gateway that has no life to serve yet.
+func New(settings *config.Settings, store statekv.Store, catalogue *cloud.Catalogue) *Gateway {
+	g := &Gateway{settings: settings, store: store, catalogue: catalogue, finals: map[string]job.Final{}}
+	g.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		BodyLimit:             maxBody,
+		Immutable:             true,
+		IdleTimeout:           2 * time.Minute,
+		ReadTimeout:           2 * time.Minute,
+		WriteTimeout:          10 * time.Second,
+		Concurrency:           max(64, settings.MaxConnections/2),
+		Network:               fiber.NetworkTCP4,
+		ErrorHandler: func(c *fiber.Ctx, err error) error {
+			code := fiber.StatusInternalServerError
+			var fe *fiber.Error
+			if errors.As(err, &fe) {
+				code = fe.Code
+			}
+			return fail(c, code, err.Error())
+		},
+	})
+	g.app.Post("/v1/report", g.report)
+	g.app.Get("/ready", g.ready)
+	g.app.Post("/submissions", g.submit)
+	g.app.Get("/submissions/:id", g.query)
+	g.app.Post("/submissions/:id/abort", g.cancel)
+	g.app.Get("/status.json", g.status)
+	return g
+}
+
+// Serve answers on ln until ctx ends.
+func (g *Gateway) Serve(ctx context.Context, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = g.app.ShutdownWithTimeout(time.Second) })
+	defer stop()
+	return g.app.Listener(ln)
+}
+
+// SetLife says which life to serve; nil between lives.
+func (g *Gateway) SetLife(l *Life) { g.life.Store(l) }
+
+func fail(c *fiber.Ctx, code int, reason string) error {
+	return c.Status(code).JSON(fiber.Map{"error": reason})
+}
+
+// later tells the client at once that this cannot be decided now, and when to
+// come back.
+func later(c *fiber.Ctx, reason string) error {
+	c.Set(fiber.HeaderRetryAfter, "1")
+	return fail(c, fiber.StatusServiceUnavailable, reason)
+}
+
+func (g *Gateway) report(c *fiber.Ctx) error {
+	var r worker.Report
+	if err := json.Unmarshal(c.Body(), &r); err != nil || r.Machine == "" || r.Address == "" {
+		return fail(c, fiber.StatusBadRequest, "malformed report")
+	}
+	l := g.life.Load()
+	if l == nil {
+		return later(c, "starting")
+	}
+	reply := l.Agent.Report(c.Context(), &r)
+	switch {
+	case reply.Owner:
+		if reply.Answer.Orders == nil {
+			reply.Answer.Orders = []worker.Order{}
+		}
+		return c.JSON(reply.Answer)
+	case reply.Home != "":
+		return c.Status(fiber.StatusMisdirectedRequest).JSON(fiber.Map{"home": reply.Home})
+	}
+	return later(c, "not the owner of this machine")
+}
+
+// ready says no while starting, and when this controller alone has lost the
+// state service. In an outage that others see too, being taken out would only
+// lose the requests that need no state service, and seconds afterwards.
+func (g *Gateway) ready(c *fiber.Ctx) error {
+	l := g.life.Load()
+	if l == nil || len(g.catalogue.Types()) == 0 {
+		return fail(c, fiber.StatusServiceUnavailable, "starting")
+	}
+	if _, _, ok := l.Placer.Home(); !ok {
+		return fail(c, fiber.StatusServiceUnavailable, "starting")
+	}
+	if !l.Member.Certain() && l.Feed.PeersServed(g.settings.Host) > 0 {
+		return fail(c, fiber.StatusServiceUnavailable, "cut off from the state service")
+	}
+	return c.JSON(fiber.Map{"status": "ready"})
+}
+
+type jobStatus struct {
+	ID      string `json:"id"`
+	Status  string `json:"status"`
+	Done    int    `json:"done"`
+	Running int    `json:"running"`
+}
+
+func (g *Gateway) final(id string) (job.Final, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f, ok := g.finals[id]
+	return f, ok
+}
+
+func (g *Gateway) keepFinal(id string, f job.Final) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for old := range g.finals {
+		if len(g.finals) < maxFinals {
+			break
+		}
+		delete(g.finals, old)
+	}
+	g.finals[id] = f
+}
+
+func finalStatus(id string, f job.Final) jobStatus {
+	s := jobStatus{ID: id, Status: f.Status}
+	if f.Status == job.Done {
+		s.Done = f.Tasks
+	}
+	return s
+}
+
+// lookup finds a job's status with a read made now, so that no answer is older
+// than one that any controller has given.
+func (g *Gateway) lookup(ctx context.Context, id string) (jobStatus, error) {
+	if f, ok := g.final(id); ok {
+		return finalStatus(id, f), nil
+	}
+	kv, err := g.store.Get(ctx, job.OpenKey(id))
+	if errors.Is(err, statekv.ErrNotFound) {
+		f, err := job.ReadFinal(ctx, g.store, id)
+		if err != nil {
+			return jobStatus{}, err
+		}
+		g.keepFinal(id, *f)
+		return finalStatus(id, *f), nil
+	}
+	if err != nil {
+		return jobStatus{}, err
+	}
+	rec, err := job.ParseRecord(kv.Value)
+	if err != nil {
+		return jobStatus{}, err
+	}
+	s := jobStatus{ID: id, Status: job.Queued}
+	s.Done, s.Running = g.counts(ctx, rec)
+	if s.Running > 0 {
+		s.Status = job.Running
+	}
+	return s, nil
+}
+
+// counts asks the job's placer for the numbers on display.
+func (g *Gateway) counts(ctx context.Context, rec *job.Record) (done, running int) {
+	l := g.life.Load()
+	if l == nil {
+		return 0, 0
+	}
+	if done, running, ok := l.Placer.Counts(rec.Spec.ID); ok {
+		return done, running
+	}
+	var h statekv.Holder
+	kv, ok := l.Mirror.Get(statekv.SlotPrefix + rec.Slot)
+	if !ok || json.Unmarshal(kv.Value, &h) != nil || h.Host == g.settings.Host || !l.Member.Alive(h) {
+		return 0, 0
+	}
+	cctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer cancel()
+	var reply placer.CountsReply
+	if err := l.Call.Call(cctx, h.Host, "Placer.Counts", rec.Spec.ID, &reply); err != nil {
+		return 0, 0
+	}
+	return reply.Done, reply.Running
+}
+
+func (g *Gateway) submit(c *fiber.Ctx) error {
+	spec, err := job.Parse(c.Body())
+	if err != nil {
+		return fail(c, fiber.StatusBadRequest, err.Error())
+	}
+	types := g.catalogue.Types()
+	l := g.life.Load()
+	if l == nil || len(types) == 0 {
+		return later(c, "starting")
+	}
+	if reason := spec.NeverRuns(types, g.settings.Teams); reason != "" {
+		return fail(c, fiber.StatusUnprocessableEntity, reason)
+	}
+	ctx, cancel := context.WithTimeout(c.Context(), 3500*time.Millisecond)
+	defer cancel()
+	if f, ok := g.final(spec.ID); ok {
+		return c.JSON(finalStatus(spec.ID, f))
+	}
+	slot, epoch, ok := l.Placer.Home()
+	if !ok {
+		return later(c, "starting")
+	}
+	rec := &job.Record{Spec: *spec, Slot: slot, Submitted: time.Now().UnixMilli()}
+	rev, err := l.Member.Write(ctx, []statekv.Cond{{Key: job.OpenKey(spec.ID)}, {Key: job.FinalKey(spec.ID)}, {Key: statekv.SlotPrefix + slot, Rev: epoch}},
+		[]statekv.Op{{Set: job.OpenKey(spec.ID), Value: rec}})
+	if err == nil {
+		l.Placer.Accepted(rec, rev)
+		slog.Info("job accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks, "slot", slot)
+		return c.Status(fiber.StatusCreated).JSON(jobStatus{ID: spec.ID, Status: job.Queued})
+	}
+	if errors.Is(err, statekv.ErrRefused) {
+		return later(c, "the state service does not take it now")
+	}
+	// A conflict means that the job is known, or that this controller's role
+	// has ended; without an answer the job may have been written.
+	s, err := g.lookup(ctx, spec.ID)
+	if err != nil {
+		slog.Debug("submission undecided", "job", spec.ID, "err", err)
+		return later(c, "undecided")
+	}
+	return c.JSON(s)
+}
+
+func (g *Gateway) query(c *fiber.Ctx) error {
+	id := c.Params("id")
+	if !job.ValidID(id) {
+		return fail(c, fiber.StatusNotFound, "no such job")
+	}
+	ctx, cancel := context.WithTimeout(c.Context(), 1700*time.Millisecond)
+	defer cancel()
+	s, err := g.lookup(ctx, id)
+	switch {
+	case errors.Is(err, statekv.ErrNotFound):
+		return fail(c, fiber.StatusNotFound, "no such job")
+	case err != nil:
+		slog.Debug("query undecided", "job", id, "err", err)
+		return later(c, "cannot be read now")
+	}
+	return c.JSON(s)
+}
+
+func (g *Gateway) cancel(c *fiber.Ctx) error {
+	id := c.Params("id")
+	if !job.ValidID(id) {
+		return fail(c, fiber.StatusNotFound, "no such job")
+	}
+	ctx, cancel := context.WithTimeout(c.Context(), 3500*time.Millisecond)
+	defer cancel()
+	answer := func(f job.Final) error {
+		g.keepFinal(id, f)
+		return c.JSON(fiber.Map{"id": id, "status": f.Status})
+	}
+	for range 4 {
+		if f, ok := g.final(id); ok {
+			return answer(f)
+		}
+		l := g.life.Load()
+		if l == nil {
+			return later(c, "starting")
+		}
+		kv, err := g.store.Get(ctx, job.OpenKey(id))
+		if errors.Is(err, statekv.ErrNotFound) {
+			f, err := job.ReadFinal(ctx, g.store, id)
+			if errors.Is(err, statekv.ErrNotFound) {
+				return fail(c, fiber.StatusNotFound, "no such job")
+			}
+			if err != nil {
+				break
+			}
+			return answer(*f)
+		}
+		if err != nil {
+			break
+		}
+		rec, err := job.ParseRecord(kv.Value)
+		if err != nil {
+			return err
+		}
+		f := job.Final{Status: job.Cancelled, Tasks: rec.Spec.Tasks}
+		then := []statekv.Op{{Delete: job.OpenKey(id)}, {Set: job.FinalKey(id), Value: f}}
+		for k := 1; k < job.Chunks(rec.Spec.Tasks); k++ {
+			then = append(then, statekv.Op{Delete: job.PartKey(id, k)})
+		}
+		_, err = l.Member.Write(ctx, []statekv.Cond{{Key: job.OpenKey(id), Rev: kv.Rev}}, then)
+		if err == nil {
+			return answer(f)
+		}
+		if !statekv.IsConflict(err) && !errors.Is(err, statekv.ErrUnknown) {
+			break
+		}
+	}
+	return later(c, "undecided")
+}
--- /dev/null
+++ b/httpjson/httpjson.go
@@ -0,0 +1,80 @@
+// Package httpjson makes JSON requests over HTTP with a deadline on each.
+package httpjson
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Client sends JSON requests over pooled connections. It never repeats a
+// request by itself: only the caller knows what an unanswered one means.
+type Client struct {
+	http    *fasthttp.Client
+	timeout time.Duration
+}
+
+// New returns a client whose requests take at most timeout each.
+func New(timeout time.Duration, perHost int) *Client {
+	return &Client{timeout: timeout, http: &fasthttp.Client{
+		MaxConnsPerHost:               perHost,
+		MaxIdleConnDuration:           20 * time.Second,
+		MaxIdemponentCallAttempts:     1,
+		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		NoDefaultUserAgentHeader:      true,
+		DisablePathNormalizing:        true,
+		DisableHeaderNamesNormalizing: false,
+		MaxResponseBodySize:           64 << 20,
+		Dial: func(address string) (net.Conn, error) {
+			return net.DialTimeout("tcp4", address, min(timeout, time.Second))
+		},
+	}}
+}
+
+// Response is the status and body of an answer.
+type Response struct {
+	Status int
+	Body   []byte
+}
+
+// Decode reads the body into out.
+func (r Response) Decode(out any) error {
+	if err := json.Unmarshal(r.Body, out); err != nil {
+		return fmt.Errorf("decoding answer with status %d: %w", r.Status, err)
+	}
+	return nil
+}
+
+// Do sends one request. An error means that no answer came, so the request
+// may or may not have been carried out, now or later. Extra prolongs the time
+// allowed, for requests that wait at the server.
+func (c *Client) Do(ctx context.Context, method, url string, in any, extra time.Duration) (Response, error) {
+	deadline := time.Now().Add(c.timeout + extra)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := ctx.Err(); err != nil {
+		return Response{}, err
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(url)
+	req.Header.SetMethod(method)
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return Response{}, fmt.Errorf("encoding request: %w", err)
+		}
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(body)
+	}
+	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+		return Response{}, fmt.Errorf("%s %s: %w", method, url, err)
+	}
+	return Response{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}, nil
+}
--- /dev/null
+++ b/job/record.go
@@ -0,0 +1,133 @@
+package job
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"math/bits"
+	"time"
+
+	"robinstack/statekv"
+)
+
+// Keys of the state service. Open jobs and ended ones are kept apart, so that
+// adopting a slot never reads the whole past.
+const (
+	OpenPrefix  = "robin/job/"
+	FinalPrefix = "robin/final/"
+	partPrefix  = "robin/part/"
+)
+
+// Record is an unfinished job in the state service. Done holds the finished
+// tasks of the first chunk; the other chunks have keys of their own.
+type Record struct {
+	Spec      Spec   `json:"spec"`
+	Slot      string `json:"slot"`
+	Submitted int64  `json:"submitted_ms"`
+	Done      string `json:"done,omitempty"`
+}
+
+// SubmittedAt is when the job was accepted, by the clock of the controller
+// that accepted it.
+func (r *Record) SubmittedAt() time.Time { return time.UnixMilli(r.Submitted) }
+
+// Final is the record of a job that is over, kept for ever.
+type Final struct {
+	Status string `json:"status"`
+	Tasks  int    `json:"tasks"`
+}
+
+// OpenKey and FinalKey name a job's records.
+func OpenKey(id string) string  { return OpenPrefix + id }
+func FinalKey(id string) string { return FinalPrefix + id }
+
+// PartKey names the key with a later chunk of a job's finished tasks.
+func PartKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", partPrefix, id, chunk) }
+
+// ChunkTasks is how many tasks one chunk of finished tasks covers: in base64
+// it stays well under half of any value limit, beside the spec.
+const ChunkTasks = 8192
+
+// Chunks is the number of chunks for a job of so many tasks.
+func Chunks(tasks int) int { return (tasks + ChunkTasks - 1) / ChunkTasks }
+
+// Set is a set of task indices.
+type Set struct{ words []uint64 }
+
+// NewSet returns an empty set for indices below n.
+func NewSet(n int) Set { return Set{words: make([]uint64, (n+63)/64)} }
+
+// Has reports whether i is in the set.
+func (s Set) Has(i int) bool { return s.words[i/64]&(1<<(i%64)) != 0 }
+
+// Add puts i into the set.
+func (s Set) Add(i int) { s.words[i/64] |= 1 << (i % 64) }
+
+// Len is the number of indices in the set.
+func (s Set) Len() int {
+	n := 0
+	for _, w := range s.words {
+		n += bits.OnesCount64(w)
+	}
+	return n
+}
+
+// Chunk encodes one chunk of the set.
+func (s Set) Chunk(k int) string {
+	var out []byte
+	end := 0
+	for i := k * ChunkTasks / 64; i < len(s.words) && i < (k+1)*ChunkTasks/64; i++ {
+		for b := range 8 {
+			out = append(out, byte(s.words[i]>>(8*b)))
+			if out[len(out)-1] != 0 {
+				end = len(out)
+			}
+		}
+	}
+	return base64.RawStdEncoding.EncodeToString(out[:end])
+}
+
+// Load adds an encoded chunk to the set.
+func (s Set) Load(k int, chunk string) error {
+	raw, err := base64.RawStdEncoding.DecodeString(chunk)
+	if err != nil {
+		return fmt.Errorf("decoding finished tasks: %w", err)
+	}
+	for i, b := range raw {
+		if w := k*ChunkTasks/64 + i/8; w < len(s.words) {
+			s.words[w] |= uint64(b) << (8 * (i % 8))
+		}
+	}
+	return nil
+}
+
+// ParseRecord reads a record as the state service returned it.
+func ParseRecord(raw json.RawMessage) (*Record, error) {
+	var r Record
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return nil, fmt.Errorf("decoding job record: %w", err)
+	}
+	if !ValidID(r.Spec.ID) || r.Spec.Tasks < 1 || r.Spec.Tasks > MaxTasks {
+		return nil, fmt.Errorf("job record of %q is damaged", r.Spec.ID)
+	}
+	return &r, nil
+}
+
+// Getter reads one key of the state service.
+type Getter interface {
+	Get(ctx context.Context, key string) (statekv.KV, error)
+}
+
+// ReadFinal reads the record of a job that is over.
+func ReadFinal(ctx context.Context, store Getter, id string) (*Final, error) {
+	kv, err := store.Get(ctx, FinalKey(id))
+	if err != nil {
+		return nil, err
+	}
+	var f Final
+	if err := json.Unmarshal(kv.Value, &f); err != nil {
+		return nil, fmt.Errorf("decoding final record of %s: %w", id, err)
+	}
+	return &f, nil
+}
--- /dev/null
+++ b/placer/events.go
@@ -0,0 +1,264 @@
+package placer
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/job"
+	"robinstack/worker"
+)
+
+// OnEntries takes what an agent's machines have become.
+func (p *Placer) OnEntries(entries []agent.Entry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range entries {
+		p.onEntry(&entries[i])
+	}
+}
+
+func (p *Placer) onEntry(e *agent.Entry) {
+	listed := make(map[agent.TaskRef]bool, len(e.Tasks))
+	for i := range e.Tasks {
+		te := &e.Tasks[i]
+		listed[te.TaskRef] = true
+		if j := p.jobs[te.Job]; j != nil && te.Index < len(j.tasks) {
+			p.onTask(e, te, j)
+		}
+	}
+	for ref := range p.on[e.Machine] {
+		j := p.jobs[ref.Job]
+		if listed[ref] || j == nil {
+			continue
+		}
+		ts := &j.tasks[ref.Index]
+		if ts.status != placed || ts.attempt != ref.Attempt || ts.machine != e.Machine {
+			delete(p.on[e.Machine], ref)
+			continue
+		}
+		// Under the owner that it was committed to, an entry made since then
+		// decides; under a later owner, one that the worker has confirmed.
+		if e.Gone && e.Rev >= ts.rev || e.Rev == ts.rev && ts.ver != unresolved && e.Ver >= ts.ver || e.Rev > ts.rev && e.Settled {
+			p.lost(j, ref.Index)
+		}
+	}
+	if len(p.on[e.Machine]) == 0 {
+		delete(p.on, e.Machine)
+	}
+}
+
+func (p *Placer) onTask(e *agent.Entry, te *agent.TaskEntry, j *jobState) {
+	ts := &j.tasks[te.Index]
+	over := te.State == worker.Ended
+	item := agent.StopItem{Machine: e.Machine, TaskRef: te.TaskRef, Forget: over}
+	switch {
+	case j.over != "" && j.recorded:
+		p.forgets = append(p.forgets, item)
+		if ts.attempt == te.Attempt && over {
+			p.clear(j, te.Index)
+			p.dropIfOver(te.Job, j)
+			return
+		}
+	case over && te.Cause == worker.Done:
+		j.ended = append(j.ended, item)
+		p.finished(j, te.Index)
+		return
+	case j.done.Has(te.Index):
+		// Another attempt finished it, or another task of its gang.
+		p.forgets = append(p.forgets, item)
+		return
+	}
+	if ts.status != pending && ts.attempt != te.Attempt {
+		// An attempt that was given up turned up after all.
+		p.forgets = append(p.forgets, item)
+		return
+	}
+	if ts.status == pending {
+		if over {
+			p.forgets = append(p.forgets, item)
+			return
+		}
+		j.attempts = max(j.attempts, te.Attempt)
+		ts.attempt = te.Attempt
+	}
+	ts.status, ts.machine, ts.zone, ts.rev, ts.ver, ts.state = placed, e.Machine, e.Zone, e.Rev, e.Ver, te.State
+	p.noteOn(e.Machine, te.TaskRef)
+	if over {
+		p.ended(j, te.Index, te.Cause, e.Machine)
+		p.forgets = append(p.forgets, item)
+		return
+	}
+	if e.Notice && j.over == "" && (j.spec.Saves() || j.spec.Shape == job.Service) {
+		// The machine is being taken: save and move on.
+		p.stopJobTask(j, te.Index, j.spec.Save()+time.Second)
+	}
+}
+
+func (p *Placer) noteOn(machine string, ref agent.TaskRef) {
+	if p.on[machine] == nil {
+		p.on[machine] = map[agent.TaskRef]bool{}
+	}
+	p.on[machine][ref] = true
+}
+
+// clear takes a task off its machine in our books.
+func (p *Placer) clear(j *jobState, i int) {
+	ts := &j.tasks[i]
+	delete(p.on[ts.machine], agent.TaskRef{Job: j.spec.ID, Index: i, Attempt: ts.attempt})
+	*ts = taskState{}
+}
+
+// finished notes that a task has completed; a gang completes as a whole.
+func (p *Placer) finished(j *jobState, i int) {
+	first, last := i, i
+	if j.spec.Shape == job.Gang {
+		first, last = 0, len(j.tasks)-1
+	}
+	p.clear(j, i)
+	for k := first; k <= last; k++ {
+		if j.done.Has(k) {
+			continue
+		}
+		j.done.Add(k)
+		j.doneCount++
+		j.dirty[k/job.ChunkTasks] = true
+		if j.dirtyAt.IsZero() {
+			j.dirtyAt = time.Now()
+		}
+	}
+	if j.doneCount == len(j.tasks) && j.over == "" {
+		j.over = job.Done
+		slog.Info("job complete", "job", j.spec.ID, "age", time.Since(j.submitted).Round(time.Millisecond))
+	}
+	p.wake()
+}
+
+// ended notes that a task ended without completing.
+func (p *Placer) ended(j *jobState, i int, cause, machine string) {
+	slog.Info("task ended", "task", job.TaskID(j.spec.ID, i), "cause", cause, "machine", machine)
+	if cause == worker.Failed {
+		// Mostly the machine is at fault; a job that fails on every machine
+		// must not burn the fleet, so it waits longer each time.
+		j.errors++
+		j.avoid = append(j.avoid, machine)
+		if len(j.avoid) > 6 {
+			j.avoid = j.avoid[1:]
+		}
+		if j.errors > 1 {
+			j.nextTry = time.Now().Add(min(time.Minute, time.Second<<min(j.errors, 6)))
+		}
+	}
+	p.lost(j, i)
+}
+
+// lost notes that a task is certainly on no machine; a gang is given up.
+func (p *Placer) lost(j *jobState, i int) {
+	p.counters.Lost++
+	p.clear(j, i)
+	if j.spec.Shape == job.Gang && j.over == "" {
+		for k := range j.tasks {
+			p.stopTask(j, k, 0)
+		}
+	}
+	p.dropIfOver(j.spec.ID, j)
+	p.wake()
+}
+
+// stopTask has a task stopped, again and again until it is gone.
+func (p *Placer) stopTask(j *jobState, i int, grace time.Duration) {
+	ts := &j.tasks[i]
+	if ts.status != placed || ts.stopping && ts.grace <= grace {
+		return
+	}
+	ts.stopping, ts.grace, ts.stopSent = true, grace, time.Time{}
+}
+
+// stopJobTask stops a task in good order: of a gang, all together.
+func (p *Placer) stopJobTask(j *jobState, i int, grace time.Duration) {
+	if j.spec.Shape != job.Gang {
+		p.stopTask(j, i, grace)
+		return
+	}
+	for k := range j.tasks {
+		p.stopTask(j, k, grace)
+	}
+}
+
+func (p *Placer) forgetEnded(j *jobState) {
+	p.forgets = append(p.forgets, j.ended...)
+	j.ended = nil
+}
+
+// dropIfOver drops a job that is over, recorded and on no machine.
+func (p *Placer) dropIfOver(id string, j *jobState) {
+	if j.over == "" || !j.recorded || j.busy {
+		return
+	}
+	for i := range j.tasks {
+		if j.tasks[i].status != pending {
+			return
+		}
+	}
+	delete(p.jobs, id)
+}
+
+// sendStops passes stops and forgets to the machines' owners. Agents repeat
+// them to the workers; repeating them here covers a change of owner.
+func (p *Placer) sendStops(ctx context.Context) {
+	now := time.Now()
+	p.mu.Lock()
+	items := p.forgets
+	p.forgets = nil
+	for ref, ts := range p.stopping() {
+		if now.Sub(ts.stopSent) > 2*time.Second {
+			ts.stopSent = now
+			items = append(items, agent.StopItem{Machine: ts.machine, TaskRef: ref, Grace: ts.grace})
+		}
+	}
+	releases := p.releases
+	p.releases = nil
+	p.mu.Unlock()
+
+	byHost := map[string][]agent.StopItem{}
+	for _, item := range items {
+		if host, ok := p.feed.Owner(item.Machine); ok {
+			byHost[host] = append(byHost[host], item)
+		}
+	}
+	for host, items := range byHost {
+		go func() {
+			cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+			defer cancel()
+			if err := p.call.Call(cctx, host, "Agent.Stop", agent.StopRequest{Items: items}, &struct{}{}); err != nil {
+				slog.Debug("stopping tasks", "host", host, "err", err)
+				p.mu.Lock()
+				for _, item := range items {
+					if item.Forget && len(p.forgets) < 10_000 {
+						p.forgets = append(p.forgets, item)
+					}
+				}
+				p.mu.Unlock()
+			}
+		}()
+	}
+	if len(releases) > 0 {
+		p.giveBack(ctx, releases)
+	}
+}
+
+// stopping lists the tasks that are being stopped.
+func (p *Placer) stopping() map[agent.TaskRef]*taskState {
+	out := map[agent.TaskRef]*taskState{}
+	for _, refs := range p.on {
+		for ref := range refs {
+			if j := p.jobs[ref.Job]; j != nil {
+				if ts := &j.tasks[ref.Index]; ts.status == placed && ts.stopping && ts.attempt == ref.Attempt {
+					out[ref] = ts
+				}
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/placer/flush.go
@@ -0,0 +1,130 @@
+package placer
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"robinstack/job"
+	"robinstack/statekv"
+)
+
+// foldEvery is how long finished tasks of an unfinished job may wait to be
+// folded into its record.
+const foldEvery = time.Second
+
+// flush records what has finished: whole jobs at once, tasks in batches.
+func (p *Placer) flush(ctx context.Context) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for id, j := range p.jobs {
+		due := j.over == job.Done || len(j.dirty) > 0 && now.Sub(j.dirtyAt) > foldEvery
+		if !due || j.recorded || j.flushing {
+			continue
+		}
+		if n++; n > 8 {
+			break
+		}
+		j.flushing = true
+		go p.flushJob(ctx, id, j)
+	}
+}
+
+func (p *Placer) flushJob(ctx context.Context, id string, j *jobState) {
+	p.mu.Lock()
+	s := p.slots[j.slot]
+	if s == nil {
+		j.flushing = false
+		p.mu.Unlock()
+		return
+	}
+	final := j.over == job.Done
+	chunks := len(j.dirty)
+	when := []statekv.Cond{{Key: job.OpenKey(id), Rev: j.rev}, {Key: statekv.SlotPrefix + j.slot, Rev: s.epoch}}
+	var then []statekv.Op
+	dirty := j.dirty
+	j.dirty, j.dirtyAt = map[int]bool{}, time.Time{}
+	ended := len(j.ended)
+	if final {
+		then = append(then, statekv.Op{Delete: job.OpenKey(id)}, statekv.Op{Set: job.FinalKey(id), Value: job.Final{Status: job.Done, Tasks: len(j.tasks)}})
+		for k := 1; k < job.Chunks(len(j.tasks)); k++ {
+			then = append(then, statekv.Op{Delete: job.PartKey(id, k)})
+		}
+	} else {
+		rec := job.Record{Spec: *j.spec, Slot: j.slot, Submitted: j.submitted.UnixMilli(), Done: j.done.Chunk(0)}
+		then = append(then, statekv.Op{Set: job.OpenKey(id), Value: rec})
+		for k := range dirty {
+			if k > 0 {
+				then = append(then, statekv.Op{Set: job.PartKey(id, k), Value: j.done.Chunk(k)})
+			}
+		}
+	}
+	p.mu.Unlock()
+
+	tctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	rev, err := p.member.Write(tctx, when, then)
+	var verdict string
+	if statekv.IsConflict(err) {
+		verdict, rev, err = p.readBack(tctx, id)
+	}
+	cancel()
+
+	if err != nil {
+		slog.Debug("recording finished tasks", "job", id, "chunks", chunks, "err", err)
+		time.Sleep(200 * time.Millisecond)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j.flushing = false
+	if err == nil && verdict == "" {
+		j.rev = rev
+		if final {
+			j.recorded = true
+			// Tasks that another attempt or member made superfluous stop now.
+			for i := range j.tasks {
+				p.stopTask(j, i, 0)
+			}
+		}
+		p.forgets = append(p.forgets, j.ended[:ended]...)
+		j.ended = j.ended[ended:]
+		p.dropIfOver(id, j)
+		return
+	}
+	for k := range dirty {
+		j.dirty[k] = true
+	}
+	if j.dirtyAt.IsZero() {
+		j.dirtyAt = time.Now()
+	}
+	switch {
+	case err != nil:
+	case verdict == job.Cancelled || verdict == job.Done:
+		j.over, j.recorded = verdict, true
+		p.cancel(id, j)
+	default:
+		// The record has moved by a write of ours whose answer was lost.
+		j.rev = rev
+	}
+}
+
+const stillOpen = "open"
+
+// readBack finds out what a job's record says after a write of ours met a
+// conflict or was lost.
+func (p *Placer) readBack(ctx context.Context, id string) (verdict string, rev uint64, err error) {
+	kv, err := p.store.Get(ctx, job.OpenKey(id))
+	if err == nil {
+		return stillOpen, kv.Rev, nil
+	}
+	if !errors.Is(err, statekv.ErrNotFound) {
+		return "", 0, err
+	}
+	final, err := job.ReadFinal(ctx, p.store, id)
+	if err != nil {
+		return "", 0, err
+	}
+	return final.Status, 0, nil
+}
--- /dev/null
+++ b/placer/place.go
@@ -0,0 +1,522 @@
+package placer
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/job"
+	"robinstack/peer"
+	"robinstack/steward"
+)
+
+// batchTasks bounds how many tasks of a job one placement looks for.
+const batchTasks = 64
+
+// maxPlacements bounds the placements at work at the same time.
+const maxPlacements = 8
+
+// shapeKey stands for what a job asks of machines: if one such found no room,
+// those behind it in the queue that ask for the same need not try just now.
+type shapeKey struct {
+	need    job.Need
+	spot    bool
+	oneZone bool
+	tasks   int
+	zone    string
+	team    string
+}
+
+func keyOf(s *job.Spec) shapeKey {
+	k := shapeKey{need: s.Need, spot: s.Spot, oneZone: s.OneZone, team: s.Team}
+	if s.Shape == job.Gang {
+		k.tasks = s.Tasks
+	}
+	if s.Zone != nil {
+		k.zone = *s.Zone
+	}
+	return k
+}
+
+// dispatch is the Sort stage: it starts placements for the jobs that wait,
+// those first that the queue order puts first.
+func (p *Placer) dispatch(ctx context.Context) {
+	if !p.member.Certain() {
+		return
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	type item struct {
+		j     *jobState
+		order float64
+	}
+	var queue []item
+	for _, j := range p.jobs {
+		if j.over != "" || j.busy || now.Before(j.nextTry) || !p.mayStart(j) {
+			continue
+		}
+		w := j.waiting()
+		if w == 0 || j.spec.Shape == job.Gang && w < len(j.tasks) {
+			continue
+		}
+		queue = append(queue, item{j, p.policy.Order(j.spec, now.Sub(j.submitted), w)})
+	}
+	slices.SortFunc(queue, func(a, b item) int {
+		return cmp.Or(cmp.Compare(b.order, a.order), cmp.Compare(a.j.spec.ID, b.j.spec.ID))
+	})
+	for _, it := range queue {
+		if p.workers >= maxPlacements {
+			break
+		}
+		key := keyOf(it.j.spec)
+		if now.Before(p.fullAt[key]) {
+			continue
+		}
+		it.j.busy = true
+		p.workers++
+		go p.place(ctx, it.j, key)
+	}
+	for k, t := range p.fullAt {
+		if now.After(t) {
+			delete(p.fullAt, k)
+		}
+	}
+}
+
+// mayStart reports whether tasks of the job that are not located can be
+// started: not before all that an earlier placer may have left has shown up.
+func (p *Placer) mayStart(j *jobState) bool {
+	s := p.slots[j.slot]
+	return s != nil && (j.fresh || s.settled)
+}
+
+// binding is one task on its way to a machine.
+type binding struct {
+	ref        agent.TaskRef
+	candidates []agent.Candidate
+	verdict    string
+}
+
+// place takes one job through sampling, decision and commit.
+func (p *Placer) place(ctx context.Context, j *jobState, key shapeKey) {
+	full := p.placeOnce(ctx, j)
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.workers--
+	j.busy = false
+	if full {
+		retry := now.Add(p.policy.RetryAfter)
+		j.tries++
+		p.counters.Requeues++
+		if retry.After(j.nextTry) {
+			j.nextTry = retry
+		}
+		p.fullAt[key] = retry
+	}
+	p.dropIfOver(j.spec.ID, j)
+	p.wake()
+}
+
+func (p *Placer) placeOnce(ctx context.Context, j *jobState) (full bool) {
+	spec := j.spec
+	p.mu.Lock()
+	s := p.slots[j.slot]
+	if s == nil || j.over != "" {
+		p.mu.Unlock()
+		return false
+	}
+	var indices []int
+	others := map[string]int{}
+	for i := range j.tasks {
+		switch {
+		case j.done.Has(i):
+		case j.tasks[i].status == pending:
+			if len(indices) < batchTasks || spec.Shape == job.Gang {
+				indices = append(indices, i)
+			}
+		default:
+			others[j.tasks[i].zone]++
+		}
+	}
+	req := agent.Request{Spec: *spec, Slot: j.slot, Epoch: s.epoch, Avoid: slices.Clone(j.avoid), Tasks: len(indices),
+		Share: p.policy.SampleMachines, Zones: openZones(spec, others, p.settings.Zones)}
+	p.mu.Unlock()
+
+	candidates := p.sample(ctx, req)
+	rank(candidates)
+	if spec.OneZone && req.Zones == nil && len(candidates) > 0 {
+		zone := candidates[0].Zone
+		if spec.Shape == job.Gang {
+			zone = gangZone(candidates, len(indices))
+		}
+		candidates = inZone(candidates, zone)
+		req.Zones = []string{zone}
+	}
+	lists := plan(candidates, len(indices), p.policy.MultiBind)
+	if spec.Spread {
+		lists = spreadOut(lists, others, (spec.Tasks+1)/2)
+	}
+	if len(lists) == 0 || spec.Shape == job.Gang && len(lists) < len(indices) {
+		return true
+	}
+	bindings := p.begin(j, indices[:len(lists)], lists)
+	if bindings == nil {
+		return false
+	}
+	granted, stewardEpoch := p.permitted(ctx, j, bindings, s.epoch)
+	if spec.Shape == job.Gang && len(granted) < len(bindings) {
+		p.abandon(j, bindings, true)
+		return true
+	}
+	var refused []*binding
+	for _, b := range bindings {
+		if !slices.Contains(granted, b) {
+			refused = append(refused, b)
+		}
+	}
+	p.abandon(j, refused, false)
+	full = len(refused) > 0 || len(lists) < len(indices)
+	commit := agent.CommitRequest{Request: req, StewardEpoch: stewardEpoch}
+	if spec.Shape == job.Gang && len(granted) > 1 {
+		if !p.assemble(ctx, j, commit, granted) {
+			return true
+		}
+		return false
+	}
+	p.multiBind(ctx, j, commit, granted)
+	for _, b := range granted {
+		full = full || b.verdict == agent.Refused
+	}
+	return full
+}
+
+// spreadOut keeps every task to zones that stay within the limit.
+func spreadOut(lists [][]agent.Candidate, others map[string]int, limit int) [][]agent.Candidate {
+	var out [][]agent.Candidate
+	for _, list := range lists {
+		z := list[0].Zone
+		if others[z] >= limit {
+			continue
+		}
+		others[z]++
+		out = append(out, inZone(list, z))
+	}
+	return out
+}
+
+// sample asks a random share of the controllers for eligible machines.
+func (p *Placer) sample(ctx context.Context, req agent.Request) []agent.Candidate {
+	hosts := pickHosts(p.member.AliveHosts(), p.policy.SampleControllers, shuffle)
+	var mu sync.Mutex
+	var all []agent.Candidate
+	var asks sync.WaitGroup
+	cctx, cancel := context.WithTimeout(ctx, p.policy.SampleTimeout)
+	defer cancel()
+	for _, h := range hosts {
+		asks.Go(func() {
+			var reply agent.Sample
+			if err := p.call.Call(cctx, h, "Agent.Sample", req, &reply); err != nil {
+				slog.Debug("sampling", "host", h, "err", err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, reply.Candidates...)
+		})
+	}
+	asks.Wait()
+	p.mu.Lock()
+	p.counters.Samples += uint64(len(hosts))
+	p.mu.Unlock()
+	return all
+}
+
+// begin numbers new attempts, never used before for the job.
+func (p *Placer) begin(j *jobState, indices []int, lists [][]agent.Candidate) []*binding {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.slots[j.slot]
+	if s == nil || j.over != "" {
+		return nil
+	}
+	p.counters.Placements++
+	j.attempts = max(j.attempts, s.epoch<<20)
+	gang := j.spec.Shape == job.Gang
+	if gang {
+		j.attempts++
+	}
+	var out []*binding
+	for k, i := range indices {
+		ts := &j.tasks[i]
+		if ts.status != pending || j.done.Has(i) {
+			if gang {
+				for _, b := range out {
+					p.clear(j, b.ref.Index)
+				}
+				return nil
+			}
+			continue
+		}
+		if !gang {
+			j.attempts++
+		}
+		*ts = taskState{status: committing, attempt: j.attempts, zone: lists[k][0].Zone}
+		out = append(out, &binding{ref: agent.TaskRef{Job: j.spec.ID, Index: i, Attempt: j.attempts}, candidates: lists[k]})
+	}
+	return out
+}
+
+// abandon returns tasks that were certainly not started to the queue.
+func (p *Placer) abandon(j *jobState, bindings []*binding, permitted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, b := range bindings {
+		if ts := &j.tasks[b.ref.Index]; ts.status == committing && ts.attempt == b.ref.Attempt {
+			*ts = taskState{}
+			if permitted && p.settings.Limited(j.spec.Team) {
+				p.releases = append(p.releases, b.ref)
+			}
+		}
+	}
+}
+
+// permitted asks the steward for permits where the team has a limit.
+func (p *Placer) permitted(ctx context.Context, j *jobState, bindings []*binding, epoch uint64) ([]*binding, uint64) {
+	if !p.settings.Limited(j.spec.Team) {
+		return bindings, 0
+	}
+	req := steward.PermitRequest{Slot: j.slot, Epoch: epoch}
+	for _, b := range bindings {
+		req.Wants = append(req.Wants, steward.Want{Ref: b.ref, Team: j.spec.Team, Need: j.spec.Need})
+	}
+	cctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	reply, err := p.permits(cctx, req)
+	if err != nil || len(reply.Granted) != len(bindings) {
+		slog.Debug("asking for permits", "job", j.spec.ID, "err", err)
+		p.mu.Lock()
+		for _, b := range bindings {
+			p.releases = append(p.releases, b.ref)
+		}
+		p.mu.Unlock()
+		return nil, 0
+	}
+	var granted []*binding
+	for i, b := range bindings {
+		if reply.Granted[i] {
+			granted = append(granted, b)
+		}
+	}
+	return granted, reply.Epoch
+}
+
+func (p *Placer) giveBack(ctx context.Context, refs []agent.TaskRef) {
+	cctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if _, err := p.permits(cctx, steward.PermitRequest{Release: refs}); err != nil {
+		p.mu.Lock()
+		if len(p.releases) < 10_000 {
+			p.releases = append(p.releases, refs...)
+		}
+		p.mu.Unlock()
+	}
+}
+
+// multiBind commits each task to the first of its candidates that takes it:
+// in each round one request per machine, and on refusal the next candidate.
+func (p *Placer) multiBind(ctx context.Context, j *jobState, commit agent.CommitRequest, bindings []*binding) {
+	left := bindings
+	for round := 0; len(left) > 0; round++ {
+		groups := map[string][]*binding{}
+		for _, b := range left {
+			if round < len(b.candidates) {
+				groups[b.candidates[round].Machine] = append(groups[b.candidates[round].Machine], b)
+			} else {
+				b.verdict = agent.Refused
+				p.abandon(j, []*binding{b}, true)
+			}
+		}
+		var calls sync.WaitGroup
+		for _, group := range groups {
+			calls.Go(func() { p.commit(ctx, j, commit, group, group[0].candidates[round], false) })
+		}
+		calls.Wait()
+		var next []*binding
+		for _, group := range groups {
+			for _, b := range group {
+				if b.verdict == agent.Refused {
+					next = append(next, b)
+				}
+			}
+		}
+		p.mu.Lock()
+		p.counters.Conflicts += uint64(len(next))
+		if round > 0 {
+			p.counters.Fallbacks += uint64(len(left))
+		}
+		p.mu.Unlock()
+		left = next
+	}
+}
+
+// commit sends one commit and books the verdicts.
+func (p *Placer) commit(ctx context.Context, j *jobState, commit agent.CommitRequest, group []*binding, c agent.Candidate, hold bool) {
+	commit.Machine, commit.Rev, commit.Hold, commit.Refs = c.Machine, c.Rev, hold, nil
+	for _, b := range group {
+		commit.Refs = append(commit.Refs, b.ref)
+	}
+	var reply agent.CommitReply
+	cctx, cancel := context.WithTimeout(ctx, 4500*time.Millisecond)
+	err := p.call.Call(cctx, c.Host, "Agent.Commit", commit, &reply)
+	cancel()
+	unknown := errors.Is(err, peer.ErrNoAnswer)
+	var open []agent.TaskRef
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, b := range group {
+		b.verdict = agent.Refused
+		if err == nil && i < len(reply.Verdicts) {
+			b.verdict = reply.Verdicts[i]
+		}
+		ts := &j.tasks[b.ref.Index]
+		mine := ts.attempt == b.ref.Attempt && ts.status != pending
+		switch {
+		case unknown:
+			b.verdict = agent.Unsettled
+			open = append(open, b.ref)
+			p.counters.Unanswered++
+			if mine && ts.status == committing {
+				ts.status, ts.machine, ts.zone, ts.rev, ts.ver = placed, c.Machine, c.Zone, c.Rev, unresolved
+				p.noteOn(c.Machine, b.ref)
+			}
+		case b.verdict == agent.Started || b.verdict == agent.Unsettled:
+			if mine && ts.status == committing {
+				ts.status, ts.machine, ts.zone, ts.rev, ts.ver, ts.state = placed, c.Machine, c.Zone, reply.Rev, reply.Ver, agent.Starting
+				p.noteOn(c.Machine, b.ref)
+				if j.over != "" {
+					p.stopTask(j, b.ref.Index, 0)
+				}
+				slog.Info("task committed", "task", job.TaskID(b.ref.Job, b.ref.Index), "attempt", b.ref.Attempt, "machine", c.Machine, "verdict", b.verdict, "age", time.Since(j.submitted).Round(time.Millisecond))
+			}
+		case b.verdict == agent.Refused && mine && ts.status == placed:
+			// The feed was faster: it has shown the task; it will show its end.
+			b.verdict = agent.Unsettled
+		}
+	}
+	if len(open) > 0 {
+		go p.resolve(ctx, j, open, c)
+	}
+}
+
+// resolve finds out what became of a commit without an answer: its owner has
+// the tasks, or promises that they never start. If the owner's life ends, the
+// next owner's confirmed entry tells.
+func (p *Placer) resolve(ctx context.Context, j *jobState, refs []agent.TaskRef, c agent.Candidate) {
+	for ctx.Err() == nil {
+		var reply agent.VoidReply
+		cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		err := p.call.Call(cctx, c.Host, "Agent.Void", agent.VoidRequest{Refs: refs}, &reply)
+		cancel()
+		p.mu.Lock()
+		waiting := false
+		for i, ref := range refs {
+			ts := &j.tasks[ref.Index]
+			if ts.status != placed || ts.attempt != ref.Attempt || ts.ver != unresolved || ts.rev != c.Rev {
+				continue
+			}
+			if err != nil {
+				waiting = true
+				continue
+			}
+			if reply.Present[i] {
+				ts.ver = reply.Ver
+				continue
+			}
+			if p.settings.Limited(j.spec.Team) {
+				p.releases = append(p.releases, ref)
+			}
+			p.lost(j, ref.Index)
+		}
+		p.mu.Unlock()
+		if !waiting {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// assemble places a gang: room is reserved for all of it, machine by machine
+// in one fixed order, before anything is started.
+func (p *Placer) assemble(ctx context.Context, j *jobState, commit agent.CommitRequest, bindings []*binding) bool {
+	spare := bindings[0].candidates
+	chosen := make([]agent.Candidate, len(bindings))
+	used := map[string]int{}
+	order := slices.Clone(bindings)
+	slices.SortFunc(order, func(a, b *binding) int {
+		return cmp.Or(cmp.Compare(a.candidates[0].Machine, b.candidates[0].Machine), cmp.Compare(a.ref.Index, b.ref.Index))
+	})
+	var held []int
+	for k, b := range order {
+		for _, c := range append(slices.Clone(b.candidates), spare...) {
+			if used[c.Machine] >= c.Fits {
+				continue
+			}
+			p.commit(ctx, j, commit, []*binding{b}, c, true)
+			if b.verdict == agent.Held {
+				chosen[k] = c
+				used[c.Machine]++
+				held = append(held, k)
+				break
+			}
+			if b.verdict == agent.Unsettled {
+				break
+			}
+		}
+		if b.verdict != agent.Held {
+			// Not all of it can be held: release what is.
+			p.mu.Lock()
+			for _, h := range held {
+				p.forgets = append(p.forgets, agent.StopItem{Machine: chosen[h].Machine, TaskRef: order[h].ref})
+			}
+			p.mu.Unlock()
+			p.abandon(j, bindings, true)
+			return false
+		}
+	}
+	groups := map[string][]*binding{}
+	at := map[string]agent.Candidate{}
+	for k, b := range order {
+		groups[chosen[k].Machine] = append(groups[chosen[k].Machine], b)
+		at[chosen[k].Machine] = chosen[k]
+	}
+	var calls sync.WaitGroup
+	for name, group := range groups {
+		calls.Go(func() { p.commit(ctx, j, commit, group, at[name], false) })
+	}
+	calls.Wait()
+	ok := true
+	for _, b := range bindings {
+		if b.verdict == agent.Refused {
+			ok = false
+			p.abandon(j, []*binding{b}, true)
+		}
+	}
+	if !ok {
+		p.mu.Lock()
+		for i := range j.tasks {
+			p.stopTask(j, i, 0)
+		}
+		p.mu.Unlock()
+	}
+	return ok
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,533 @@
+// Package placer looks after the jobs of the slots that this controller
+// holds: it finds places for their tasks by sampling and MultiBind, follows
+// the attempts and records what has finished.
+package placer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/config"
+	"robinstack/job"
+	"robinstack/policy"
+	"robinstack/statekv"
+	"robinstack/steward"
+)
+
+type status uint8
+
+const (
+	pending status = iota
+	committing
+	placed
+)
+
+// taskState is one unfinished task of a job.
+type taskState struct {
+	status   status
+	stopping bool
+	state    string // as last reported
+	attempt  uint64
+	machine  string
+	zone     string
+	rev, ver uint64 // entry from which on a missing task is gone
+	grace    time.Duration
+	stopSent time.Time
+}
+
+// unresolved marks a task whose commit has no answer: only an entry that has
+// it, a later owner, or the old owner's word that it never comes decides.
+const unresolved = ^uint64(0)
+
+type jobState struct {
+	spec      *job.Spec
+	slot      string
+	rev       uint64
+	submitted time.Time
+	tasks     []taskState
+	done      job.Set
+	doneCount int
+	running   int
+	fresh     bool   // accepted in this life: nothing of it can run unknown to us
+	over      string // final status, once decided
+	recorded  bool   // the final status is durable
+	dirty     map[int]bool
+	dirtyAt   time.Time
+	ended     []agent.StopItem // finished tasks to be forgotten once recorded
+	flushing  bool
+	busy      bool
+	nextTry   time.Time
+	tries     int
+	attempts  uint64
+	avoid     []string
+	errors    int
+}
+
+func (j *jobState) waiting() int {
+	n := 0
+	for i := range j.tasks {
+		if j.tasks[i].status == pending && !j.done.Has(i) {
+			n++
+		}
+	}
+	return n
+}
+
+type slotState struct {
+	epoch   uint64
+	cleared map[string]bool
+	settled bool
+}
+
+// Placer holds the jobs of its slots. Its mutex guards all its state and is
+// never held over I/O.
+type Placer struct {
+	settings *config.Settings
+	policy   *policy.Policy
+	store    statekv.Store
+	mirror   *statekv.Mirror
+	member   *statekv.Member
+	call     agent.Caller
+	feed     *agent.Feed
+	ctx      context.Context
+
+	mu       sync.Mutex
+	jobs     map[string]*jobState
+	slots    map[string]*slotState
+	home     string // slot that takes new jobs
+	on       map[string]map[agent.TaskRef]bool
+	forgets  []agent.StopItem
+	releases []agent.TaskRef
+	fullAt   map[shapeKey]time.Time
+	gone     map[string]deleted // records deleted lately, which a slower read may still show
+	workers  int
+	counters Counters
+	kick     chan struct{}
+}
+
+type deleted struct {
+	rev uint64
+	at  time.Time
+}
+
+// Counters count what the paper's mechanisms did.
+type Counters struct {
+	Placements, Samples, Conflicts, Fallbacks, Requeues, Unanswered, Lost uint64
+}
+
+// New returns a placer without slots.
+func New(settings *config.Settings, pol *policy.Policy, store statekv.Store, mirror *statekv.Mirror, member *statekv.Member, call agent.Caller) *Placer {
+	return &Placer{settings: settings, policy: pol, store: store, mirror: mirror, member: member, call: call,
+		jobs: map[string]*jobState{}, slots: map[string]*slotState{}, on: map[string]map[agent.TaskRef]bool{},
+		fullAt: map[shapeKey]time.Time{}, gone: map[string]deleted{}, kick: make(chan struct{}, 1)}
+}
+
+// Epoch is the highest slot epoch held: agents must know of it.
+func (p *Placer) Epoch() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var e uint64
+	for _, s := range p.slots {
+		e = max(e, s.epoch)
+	}
+	return e
+}
+
+// Run places jobs until ctx ends.
+func (p *Placer) Run(ctx context.Context, feed *agent.Feed) {
+	p.mu.Lock()
+	p.ctx, p.feed = ctx, feed
+	p.mu.Unlock()
+	var duties sync.WaitGroup
+	every := func(d time.Duration, f func(context.Context)) {
+		duties.Go(func() {
+			tick := time.NewTicker(d)
+			defer tick.Stop()
+			for ctx.Err() == nil {
+				f(ctx)
+				select {
+				case <-ctx.Done():
+				case <-tick.C:
+				}
+			}
+		})
+	}
+	every(300*time.Millisecond, p.holdSlots)
+	every(100*time.Millisecond, p.flush)
+	every(200*time.Millisecond, p.sendStops)
+	every(time.Second, p.sendDemand)
+	tick := time.NewTicker(150 * time.Millisecond)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		p.dispatch(ctx)
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		case <-p.kick:
+		}
+	}
+	duties.Wait()
+}
+
+func (p *Placer) wake() {
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// holdSlots takes slots whose placer's life is over, and a new one if this
+// controller has none; then it checks whether those taken have settled.
+func (p *Placer) holdSlots(ctx context.Context) {
+	if !p.member.Certain() {
+		return
+	}
+	keys := p.mirror.Prefix(statekv.SlotPrefix)
+	for _, kv := range keys {
+		id := strings.TrimPrefix(kv.Key, statekv.SlotPrefix)
+		var h statekv.Holder
+		p.mu.Lock()
+		held := p.slots[id] != nil
+		p.mu.Unlock()
+		if held || json.Unmarshal(kv.Value, &h) == nil && h != p.member.Holder && p.member.Alive(h) {
+			continue
+		}
+		p.takeSlot(ctx, id, kv.Rev)
+	}
+	p.mu.Lock()
+	none := p.home == ""
+	p.mu.Unlock()
+	if none {
+		p.takeSlot(ctx, fmt.Sprintf("%s.%d", p.member.Host, p.member.Instance), 0)
+	}
+	p.settleSlots(ctx)
+}
+
+func (p *Placer) takeSlot(ctx context.Context, id string, seen uint64) {
+	tctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	epoch, err := p.member.Take(tctx, statekv.SlotPrefix+id, seen, p.member.Holder)
+	if err != nil {
+		slog.Debug("taking a slot", "slot", id, "err", err)
+		return
+	}
+	if seen != 0 {
+		for err = p.loadSlot(ctx, id); err != nil && ctx.Err() == nil; err = p.loadSlot(ctx, id) {
+			slog.Warn("loading a slot's jobs", "slot", id, "err", err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(300 * time.Millisecond):
+			}
+		}
+	}
+	if p.mirror.Wait(ctx, epoch) != nil {
+		return
+	}
+	p.mu.Lock()
+	p.slots[id] = &slotState{epoch: epoch, cleared: map[string]bool{}, settled: seen == 0}
+	if p.home == "" {
+		p.home = id
+	}
+	n := len(p.jobs)
+	p.mu.Unlock()
+	slog.Info("slot taken", "slot", id, "epoch", epoch, "jobs", n)
+	// Tasks that the feed has shown already are located now.
+	if p.feed != nil {
+		p.OnEntries(p.feed.Entries())
+	}
+}
+
+// loadSlot reads the unfinished jobs of a slot that was another's.
+func (p *Placer) loadSlot(ctx context.Context, id string) error {
+	for after := ""; ; {
+		page, err := p.store.List(ctx, job.OpenPrefix, after)
+		if err != nil {
+			return fmt.Errorf("listing open jobs: %w", err)
+		}
+		for _, kv := range page.Items {
+			after = kv.Key
+			rec, err := job.ParseRecord(kv.Value)
+			if err != nil {
+				slog.Error("job record", "key", kv.Key, "err", err)
+				continue
+			}
+			if rec.Slot != id {
+				continue
+			}
+			if err := p.load(ctx, rec, kv.Rev, false); err != nil {
+				return err
+			}
+		}
+		if !page.More || len(page.Items) == 0 {
+			return nil
+		}
+	}
+}
+
+// load takes up a job from its record.
+func (p *Placer) load(ctx context.Context, rec *job.Record, rev uint64, fresh bool) error {
+	j := &jobState{spec: &rec.Spec, slot: rec.Slot, rev: rev, submitted: rec.SubmittedAt(), tasks: make([]taskState, rec.Spec.Tasks),
+		done: job.NewSet(rec.Spec.Tasks), fresh: fresh, dirty: map[int]bool{}}
+	if err := j.done.Load(0, rec.Done); err != nil {
+		slog.Error("job record", "job", rec.Spec.ID, "err", err)
+	}
+	for k := 1; k < job.Chunks(rec.Spec.Tasks) && !fresh; k++ {
+		kv, err := p.store.Get(ctx, job.PartKey(rec.Spec.ID, k))
+		if errors.Is(err, statekv.ErrNotFound) {
+			continue
+		}
+		var chunk string
+		if err == nil {
+			err = json.Unmarshal(kv.Value, &chunk)
+		}
+		if err == nil {
+			err = j.done.Load(k, chunk)
+		}
+		if err != nil {
+			return fmt.Errorf("loading finished tasks of %s: %w", rec.Spec.ID, err)
+		}
+	}
+	j.doneCount = j.done.Len()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.gone[rec.Spec.ID].rev > rev {
+		return nil // cancelled since the record was read
+	}
+	if old := p.jobs[rec.Spec.ID]; old == nil || rev > old.rev && !old.flushing && old.slot != rec.Slot {
+		p.jobs[rec.Spec.ID] = j
+	}
+	p.wake()
+	return nil
+}
+
+// settleSlots checks which machines have shown all that earlier placers may
+// have left on them; a slot settles when every machine has.
+func (p *Placer) settleSlots(ctx context.Context) {
+	p.mu.Lock()
+	open := map[string]uint64{}
+	for id, s := range p.slots {
+		if !s.settled {
+			open[id] = s.epoch
+		}
+	}
+	p.mu.Unlock()
+	if len(open) == 0 || p.feed == nil {
+		return
+	}
+	keys := p.mirror.Prefix(statekv.MachinePrefix)
+	for id, epoch := range open {
+		left := 0
+		for _, kv := range keys {
+			name := strings.TrimPrefix(kv.Key, statekv.MachinePrefix)
+			p.mu.Lock()
+			s := p.slots[id]
+			done := s == nil || s.cleared[name]
+			p.mu.Unlock()
+			if done {
+				continue
+			}
+			if !p.feed.SettledSince(kv, epoch) {
+				left++
+				continue
+			}
+			p.mu.Lock()
+			s.cleared[name] = true
+			p.mu.Unlock()
+		}
+		if left > 0 {
+			continue
+		}
+		p.OnEntries(p.feed.Entries())
+		p.mu.Lock()
+		if s := p.slots[id]; s != nil {
+			s.settled, s.cleared = true, nil
+		}
+		p.mu.Unlock()
+		slog.Info("slot settled", "slot", id)
+		cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		_, err := p.permits(cctx, steward.PermitRequest{Slot: id, Epoch: epoch, Settled: true})
+		cancel()
+		if err != nil {
+			slog.Debug("telling the steward of a settled slot", "err", err)
+		}
+		p.wake()
+	}
+}
+
+// Home returns the slot for new jobs and its epoch.
+func (p *Placer) Home() (slot string, epoch uint64, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.slots[p.home]
+	if s == nil {
+		return "", 0, false
+	}
+	return p.home, s.epoch, true
+}
+
+// Accepted takes up a job whose record this controller has just written.
+func (p *Placer) Accepted(rec *job.Record, rev uint64) {
+	if err := p.load(context.Background(), rec, rev, true); err != nil {
+		slog.Error("taking up a job", "job", rec.Spec.ID, "err", err)
+	}
+}
+
+// OnJobEvent follows the job records: cancellations come from any controller,
+// and a submission of ours may turn out to have been applied after all.
+func (p *Placer) OnJobEvent(e statekv.Event) {
+	id, ok := strings.CutPrefix(e.Key(), job.OpenPrefix)
+	if !ok {
+		return
+	}
+	if e.Delete != "" {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.gone[id] = deleted{rev: e.Rev, at: time.Now()}
+		for old, d := range p.gone {
+			if len(p.gone) > 2000 && time.Since(d.at) > time.Minute {
+				delete(p.gone, old)
+			}
+		}
+		if j := p.jobs[id]; j != nil && e.Rev > j.rev {
+			p.cancel(id, j)
+		}
+		return
+	}
+	p.mu.Lock()
+	_, known := p.jobs[id]
+	p.mu.Unlock()
+	if known {
+		return
+	}
+	rec, err := job.ParseRecord(e.Value)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	s := p.slots[rec.Slot]
+	p.mu.Unlock()
+	if s != nil && e.Rev > s.epoch && rec.Done == "" {
+		p.Accepted(rec, e.Rev)
+	}
+}
+
+// cancel stops everything of a job whose record says that it is over.
+func (p *Placer) cancel(id string, j *jobState) {
+	if j.over == job.Done && !j.recorded {
+		// Our own final write is under way, or a cancellation came first: the
+		// record decides, and the flush will read it.
+		return
+	}
+	if j.over == "" {
+		slog.Info("job cancelled", "job", id)
+		j.over = job.Cancelled
+	}
+	j.recorded = true
+	for i := range j.tasks {
+		p.stopTask(j, i, 0)
+	}
+	p.forgetEnded(j)
+	p.dropIfOver(id, j)
+}
+
+// Recheck reads the records of all jobs after a gap in the watch.
+func (p *Placer) Recheck(ctx context.Context) {
+	p.mu.Lock()
+	ids := make([]string, 0, len(p.jobs))
+	for id := range p.jobs {
+		ids = append(ids, id)
+	}
+	p.mu.Unlock()
+	for _, id := range ids {
+		if _, err := p.store.Get(ctx, job.OpenKey(id)); errors.Is(err, statekv.ErrNotFound) {
+			p.mu.Lock()
+			if j := p.jobs[id]; j != nil {
+				p.cancel(id, j)
+			}
+			p.mu.Unlock()
+		}
+	}
+}
+
+// Counts returns a job's finished and running tasks, if it is looked after here.
+func (p *Placer) Counts(id string) (done, running int, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j := p.jobs[id]
+	if j == nil {
+		return 0, 0, false
+	}
+	return j.doneCount, j.countRunning(), true
+}
+
+func (j *jobState) countRunning() int {
+	n := 0
+	for i := range j.tasks {
+		if j.tasks[i].status == placed && j.tasks[i].state == "running" {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Placer) sendDemand(ctx context.Context) {
+	host, ok := p.stewardHost()
+	if !ok {
+		return
+	}
+	req := steward.DemandRequest{Host: p.member.Host}
+	p.mu.Lock()
+	for _, j := range p.jobs {
+		if j.over != "" {
+			continue
+		}
+		d := steward.Demand{Spec: *j.spec, AgeS: time.Since(j.submitted).Seconds()}
+		for i := range j.tasks {
+			switch {
+			case j.done.Has(i):
+			case j.tasks[i].status == placed:
+				d.Running++
+			default:
+				d.Waiting++
+			}
+		}
+		if j.errors >= 3 {
+			d.Waiting = min(d.Waiting, 1)
+		}
+		req.Jobs = append(req.Jobs, d)
+	}
+	p.mu.Unlock()
+	cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	if err := p.call.Call(cctx, host, "Steward.Demand", req, &struct{}{}); err != nil {
+		slog.Debug("telling the steward the demand", "err", err)
+	}
+}
+
+func (p *Placer) stewardHost() (string, bool) {
+	kv, ok := p.mirror.Get(statekv.StewardKey)
+	var h statekv.Holder
+	if !ok || json.Unmarshal(kv.Value, &h) != nil || !p.member.Alive(h) {
+		return "", false
+	}
+	return h.Host, true
+}
+
+func (p *Placer) permits(ctx context.Context, req steward.PermitRequest) (*steward.PermitReply, error) {
+	host, ok := p.stewardHost()
+	if !ok {
+		return nil, errors.New("no steward")
+	}
+	var reply steward.PermitReply
+	if err := p.call.Call(ctx, host, "Steward.Permit", req, &reply); err != nil {
+		return nil, err
+	}
+	return &reply, nil
+}
--- /dev/null
+++ b/placer/service.go
@@ -0,0 +1,82 @@
+package placer
+
+import (
+	"slices"
+	"time"
+
+	"robinstack/job"
+)
+
+// Service is what other controllers ask a placer.
+type Service struct{ placer *Placer }
+
+// NewService returns the net/rpc service of a placer.
+func NewService(p *Placer) *Service { return &Service{placer: p} }
+
+// CountsReply has the numbers of a job that are on display.
+type CountsReply struct {
+	Done, Running int
+}
+
+// Counts returns a job's finished and running tasks.
+func (s *Service) Counts(id string, reply *CountsReply) error {
+	reply.Done, reply.Running, _ = s.placer.Counts(id)
+	return nil
+}
+
+// Waiting is a job with tasks that wait, and why they do.
+type Waiting struct {
+	Job   string  `json:"job"`
+	Class string  `json:"class"`
+	Team  string  `json:"team"`
+	Tasks int     `json:"tasks_waiting"`
+	AgeS  float64 `json:"age_s"`
+	Why   string  `json:"why"`
+}
+
+// Queue lists at most n waiting jobs, the oldest first.
+func (s *Service) Queue(n int, reply *[]Waiting) error {
+	p := s.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, j := range p.jobs {
+		if w := j.waiting(); w > 0 && j.over == "" {
+			*reply = append(*reply, Waiting{Job: j.spec.ID, Class: j.spec.Class, Team: j.spec.Team, Tasks: w,
+				AgeS: time.Since(j.submitted).Seconds(), Why: p.why(j, w)})
+		}
+	}
+	slices.SortFunc(*reply, func(a, b Waiting) int { return int(b.AgeS - a.AgeS) })
+	*reply = (*reply)[:min(n, len(*reply))]
+	return nil
+}
+
+func (p *Placer) why(j *jobState, waiting int) string {
+	switch {
+	case !p.mayStart(j):
+		return "its last placer has gone; machines are being checked for its tasks"
+	case j.errors > 1 && time.Now().Before(j.nextTry):
+		return "its tasks fail; trying again later"
+	case j.spec.Shape == job.Gang && waiting < len(j.tasks):
+		return "tasks of its last attempt are still on machines"
+	case j.busy:
+		return "being placed"
+	case j.tries > 0 && p.settings.Limited(j.spec.Team):
+		return "no machine with room, or its team is at its limit"
+	case j.tries > 0:
+		return "no machine with room"
+	}
+	return "in the queue"
+}
+
+// CountersNow returns the counters.
+func (p *Placer) CountersNow() Counters {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counters
+}
+
+// StewardHost returns the steward's host, or "".
+func (p *Placer) StewardHost() string {
+	host, _ := p.stewardHost()
+	return host
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,28 @@
+// Package policy holds what operators may set beyond the platform's file.
+package policy
+
+import (
+	"time"
+
+	"robinstack/job"
+)
+
+// Policy is the operators' settings, with defaults that serve any deployment.
+type Policy struct {
+	SampleControllers float64       // share of the controllers asked for samples (C_p)
+	SampleMachines    float64       // share of its machines that each samples (N_p)
+	SampleTimeout     time.Duration // how long sampling may take
+	MultiBind         int           // candidates tried in the commit phase (m)
+	RetryAfter        time.Duration // pause before a job without a place samples again
+	IdleReturn        time.Duration // idle time after which a machine is returned
+}
+
+// Default returns the policy that holds where operators set nothing.
+func Default() *Policy {
+	return &Policy{SampleControllers: 0.5, SampleMachines: 0.04, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 60 * time.Second}
+}
+
+// Order puts jobs in the queue's order: rank first, then by deadline or age.
+func (p *Policy) Order(spec *job.Spec, age time.Duration, waiting int) float64 {
+	return float64(spec.Priority())*1e6 + age.Seconds()
+}
--- /dev/null
+++ b/statekv/client.go
@@ -0,0 +1,243 @@
+// Package statekv is the client of the state service: keys with revisions,
+// conditional transactions, leases and a mirror of the keys under a prefix.
+package statekv
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"robinstack/httpjson"
+)
+
+// Errors a caller has to tell apart.
+var (
+	// ErrNotFound: the key or the lease does not exist.
+	ErrNotFound = errors.New("not found")
+	// ErrRefused: the request was not carried out.
+	ErrRefused = errors.New("refused by the state service")
+	// ErrUnknown: no answer; the request may be carried out now, later or never.
+	ErrUnknown = errors.New("outcome unknown")
+	// ErrCompacted: the watch's starting point is too old.
+	ErrCompacted = errors.New("watch too old")
+)
+
+// Conflict says which conditions of a transaction did not hold.
+type Conflict struct{ Failed []string }
+
+func (c *Conflict) Error() string { return fmt.Sprintf("conditions failed: %v", c.Failed) }
+
+// IsConflict reports whether err says that a transaction's conditions failed.
+func IsConflict(err error) bool {
+	var c *Conflict
+	return errors.As(err, &c)
+}
+
+// KV is a key with its value and the revision of its latest change.
+type KV struct {
+	Key   string          `json:"path"`
+	Value json.RawMessage `json:"data"`
+	Rev   uint64          `json:"key_rev"`
+}
+
+// Cond requires that a key has a revision; 0 means that it does not exist.
+type Cond struct {
+	Key string `json:"path"`
+	Rev uint64 `json:"key_rev"`
+}
+
+// Op is one change of a transaction.
+type Op struct {
+	Set    string `json:"set,omitempty"`
+	Value  any    `json:"data,omitempty"`
+	Lease  uint64 `json:"grant,omitempty"`
+	Delete string `json:"delete,omitempty"`
+}
+
+// Event is a change seen by a watch.
+type Event struct {
+	Set    string          `json:"set"`
+	Value  json.RawMessage `json:"data"`
+	Delete string          `json:"delete"`
+	Rev    uint64          `json:"key_rev"`
+}
+
+// Key is the key the event is about.
+func (e Event) Key() string {
+	if e.Set != "" {
+		return e.Set
+	}
+	return e.Delete
+}
+
+// Page is one page of a listing.
+type Page struct {
+	Items []KV   `json:"items"`
+	More  bool   `json:"truncated"`
+	Rev   uint64 `json:"ledger_rev"`
+}
+
+// News is what a watch returned.
+type News struct {
+	Rev    uint64  `json:"ledger_rev"`
+	Events []Event `json:"news"`
+}
+
+// Store is the state service as the rest of the program uses it.
+type Store interface {
+	Get(ctx context.Context, key string) (KV, error)
+	List(ctx context.Context, prefix, after string) (Page, error)
+	Txn(ctx context.Context, when []Cond, then []Op) (uint64, error)
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	Renew(ctx context.Context, lease uint64) error
+	Revoke(ctx context.Context, lease uint64) error
+	Follow(ctx context.Context, prefix string, since uint64, block time.Duration) (News, error)
+}
+
+// Client talks to the state service over HTTP and keeps this controller's
+// share of the service's limits.
+type Client struct {
+	base   string
+	http   *httpjson.Client
+	reads  *rate.Limiter
+	writes *rate.Limiter
+}
+
+// NewClient returns a client that uses at most the given requests and changes
+// per second, lease renewals and watches not counted: those always go out.
+func NewClient(address string, requests, changes float64) *Client {
+	return &Client{
+		base:   "http://" + address,
+		http:   httpjson.New(1500*time.Millisecond, 64),
+		reads:  rate.NewLimiter(rate.Limit(requests), int(max(8, requests/2))),
+		writes: rate.NewLimiter(rate.Limit(changes), int(max(26, changes))),
+	}
+}
+
+func (c *Client) send(ctx context.Context, method, path string, in any, extra time.Duration) (httpjson.Response, error) {
+	r, err := c.http.Do(ctx, method, c.base+path, in, extra)
+	if err != nil {
+		return r, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	switch r.Status {
+	case http.StatusOK, http.StatusConflict:
+		return r, nil
+	case http.StatusNotFound:
+		return r, ErrNotFound
+	case http.StatusGone:
+		return r, ErrCompacted
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadRequest:
+		slog.Debug("state service refused", "method", method, "path", path, "status", r.Status)
+		return r, fmt.Errorf("%w: %s %s: status %d", ErrRefused, method, path, r.Status)
+	}
+	return r, fmt.Errorf("%w: %s %s: status %d", ErrUnknown, method, path, r.Status)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any, extra time.Duration) error {
+	r, err := c.send(ctx, method, path, in, extra)
+	if err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := r.Decode(out); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	return nil
+}
+
+func (c *Client) pace(ctx context.Context, l *rate.Limiter, n int) error {
+	if err := l.WaitN(ctx, n); err != nil {
+		return fmt.Errorf("%w: own limit: %w", ErrRefused, err)
+	}
+	return nil
+}
+
+// Get reads one key.
+func (c *Client) Get(ctx context.Context, key string) (KV, error) {
+	var kv KV
+	if err := c.pace(ctx, c.reads, 1); err != nil {
+		return kv, err
+	}
+	err := c.call(ctx, http.MethodGet, "/keys/"+key, nil, &kv, 0)
+	return kv, err
+}
+
+// List reads the keys under prefix that follow after.
+func (c *Client) List(ctx context.Context, prefix, after string) (Page, error) {
+	var p Page
+	if err := c.pace(ctx, c.reads, 1); err != nil {
+		return p, err
+	}
+	q := url.Values{"prefix": {prefix}, "page": {"500"}}
+	if after != "" {
+		q.Set("since", after)
+	}
+	err := c.call(ctx, http.MethodGet, "/keys?"+q.Encode(), nil, &p, time.Second)
+	return p, err
+}
+
+type txnRequest struct {
+	When []Cond `json:"when"`
+	Then []Op   `json:"then,omitempty"`
+}
+
+// Txn applies then if every condition holds. A *Conflict says that one did not.
+func (c *Client) Txn(ctx context.Context, when []Cond, then []Op) (uint64, error) {
+	if err := c.pace(ctx, c.reads, 1); err != nil {
+		return 0, err
+	}
+	if err := c.pace(ctx, c.writes, len(then)); err != nil {
+		return 0, err
+	}
+	r, err := c.send(ctx, http.MethodPost, "/txn", txnRequest{When: when, Then: then}, 0)
+	if err != nil {
+		return 0, err
+	}
+	var out struct {
+		Rev    uint64   `json:"ledger_rev"`
+		Failed []string `json:"failed"`
+	}
+	if err := r.Decode(&out); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	if r.Status == http.StatusConflict {
+		return 0, &Conflict{Failed: out.Failed}
+	}
+	return out.Rev, nil
+}
+
+// Grant obtains a lease.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	var out struct {
+		Grant uint64 `json:"grant"`
+	}
+	err := c.call(ctx, http.MethodPost, "/grants", map[string]int64{"ttl_ms": ttl.Milliseconds()}, &out, 0)
+	return out.Grant, err
+}
+
+// Renew prolongs a lease.
+func (c *Client) Renew(ctx context.Context, lease uint64) error {
+	return c.call(ctx, http.MethodPost, fmt.Sprintf("/grants/%d/extend", lease), nil, nil, 0)
+}
+
+// Revoke ends a lease at once.
+func (c *Client) Revoke(ctx context.Context, lease uint64) error {
+	return c.call(ctx, http.MethodDelete, fmt.Sprintf("/grants/%d", lease), nil, nil, 0)
+}
+
+// Follow waits until something under prefix changes after since.
+func (c *Client) Follow(ctx context.Context, prefix string, since uint64, block time.Duration) (News, error) {
+	var n News
+	q := url.Values{"prefix": {prefix}, "since": {fmt.Sprint(since)}, "block_ms": {fmt.Sprint(block.Milliseconds())}}
+	err := c.call(ctx, http.MethodGet, "/follow?"+q.Encode(), nil, &n, block)
+	return n, err
+}
--- /dev/null
+++ b/statekv/mirror.go
@@ -0,0 +1,167 @@
+package statekv
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Mirror keeps a copy of the keys under one prefix and passes on the changes
+// of a wider one. What it holds is old by the time it is read; the revision
+// says how old.
+type Mirror struct {
+	store  Store
+	keep   string // prefix of the keys that are kept
+	follow string // prefix of the changes that are followed
+	onNews func([]Event)
+
+	mu     sync.Mutex
+	rev    uint64
+	keys   map[string]KV
+	fresh  time.Time // when the request that last showed the present was sent
+	loaded bool
+	moved  chan struct{} // closed and replaced whenever rev grows
+}
+
+// NewMirror returns a mirror; onNews, called from one goroutine, gets every
+// change after the first load and, after a gap in the watch, nil.
+func NewMirror(store Store, keep, follow string, onNews func([]Event)) *Mirror {
+	return &Mirror{store: store, keep: keep, follow: follow, onNews: onNews, keys: map[string]KV{}, moved: make(chan struct{})}
+}
+
+// Load reads the kept keys anew.
+func (m *Mirror) Load(ctx context.Context) error {
+	sent := time.Now()
+	keys := map[string]KV{}
+	var rev uint64
+	for after := ""; ; {
+		p, err := m.store.List(ctx, m.keep, after)
+		if err != nil {
+			return err
+		}
+		if rev == 0 {
+			// Later pages may be newer; following from the first page's
+			// revision applies their changes again, which is harmless.
+			rev = p.Rev
+		}
+		for _, kv := range p.Items {
+			keys[kv.Key] = kv
+			after = kv.Key
+		}
+		if !p.More || len(p.Items) == 0 {
+			break
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.keys, m.rev, m.fresh, m.loaded = keys, rev, sent, true
+	close(m.moved)
+	m.moved = make(chan struct{})
+	return nil
+}
+
+// Run follows the changes until ctx ends. Load must have succeeded before.
+func (m *Mirror) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.mu.Lock()
+		since := m.rev
+		m.mu.Unlock()
+		sent := time.Now()
+		news, err := m.store.Follow(ctx, m.follow, since, 2*time.Second)
+		if errors.Is(err, ErrCompacted) {
+			if err = m.Load(ctx); err == nil {
+				m.onNews(nil)
+				continue
+			}
+		}
+		if err != nil {
+			slog.Debug("watch failed", "err", err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(300 * time.Millisecond):
+			}
+			continue
+		}
+		m.apply(news, sent)
+		if len(news.Events) > 0 {
+			m.onNews(news.Events)
+		}
+	}
+}
+
+func (m *Mirror) apply(news News, sent time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range news.Events {
+		key := e.Key()
+		if !strings.HasPrefix(key, m.keep) || m.keys[key].Rev >= e.Rev {
+			continue
+		}
+		if e.Set != "" {
+			m.keys[key] = KV{Key: key, Value: e.Value, Rev: e.Rev}
+		} else {
+			delete(m.keys, key)
+		}
+	}
+	m.fresh = sent
+	if news.Rev > m.rev {
+		m.rev = news.Rev
+		close(m.moved)
+		m.moved = make(chan struct{})
+	}
+}
+
+// Get returns a key as last seen.
+func (m *Mirror) Get(key string) (KV, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	kv, ok := m.keys[key]
+	return kv, ok
+}
+
+// Prefix returns the keys under prefix as last seen.
+func (m *Mirror) Prefix(prefix string) []KV {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []KV
+	for k, kv := range m.keys {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, kv)
+		}
+	}
+	return out
+}
+
+// Rev is the revision up to which the mirror is complete.
+func (m *Mirror) Rev() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rev
+}
+
+// Fresh is a moment at which the mirror was known to be complete.
+func (m *Mirror) Fresh() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fresh
+}
+
+// Wait blocks until the mirror is complete up to rev.
+func (m *Mirror) Wait(ctx context.Context, rev uint64) error {
+	for {
+		m.mu.Lock()
+		done, moved := m.loaded && m.rev >= rev, m.moved
+		m.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-moved:
+		}
+	}
+}
--- /dev/null
+++ b/steward/fleet.go
@@ -0,0 +1,340 @@
+package steward
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/cloud"
+	"robinstack/job"
+	"robinstack/statekv"
+)
+
+// fleet is what the steward knows of rented machines.
+type fleet struct {
+	booting  map[string]boot
+	listed   map[string]time.Time // when a list showed it first
+	last     map[string]cloud.Machine
+	lastAt   time.Time
+	shut     map[pool]time.Time // pools that refused, until when
+	silent   map[string]time.Time
+	deleted  map[string]time.Time
+	requests int
+	retry    *cloud.Rental // a rental without an answer, to be repeated under its name
+}
+
+type boot struct {
+	pool
+	since time.Time
+}
+
+func newFleet() fleet {
+	return fleet{booting: map[string]boot{}, listed: map[string]time.Time{}, last: map[string]cloud.Machine{}, shut: map[pool]time.Time{},
+		silent: map[string]time.Time{}, deleted: map[string]time.Time{}}
+}
+
+// runList reads the cloud's list and prices from time to time.
+func (s *Steward) runList(ctx context.Context) {
+	var typesAt time.Time
+	for ctx.Err() == nil {
+		if len(s.catalogue.Types()) == 0 || s.Epoch() != 0 && time.Since(typesAt) > 20*time.Second {
+			if types, err := s.cloud.MachineTypes(ctx); err != nil {
+				slog.Debug("reading machine types", "err", err)
+			} else if len(types) > 0 {
+				typesAt = time.Now()
+				s.catalogue.Set(types)
+				s.keepTypes(ctx, types)
+			}
+		}
+		if s.Epoch() != 0 {
+			if machines, err := s.cloud.Machines(ctx); err != nil {
+				slog.Debug("listing machines", "err", err)
+			} else {
+				s.onList(machines, time.Now())
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(2500 * time.Millisecond):
+		}
+	}
+}
+
+// keepTypes stores the types once, for controllers that start while the cloud
+// does not answer.
+func (s *Steward) keepTypes(ctx context.Context, types []cloud.MachineType) {
+	if _, ok := s.mirror.Get(statekv.TypesKey); ok || s.Epoch() == 0 {
+		return
+	}
+	if raw, err := json.Marshal(types); err != nil || len(raw) > s.settings.State.ValueBytes {
+		return
+	}
+	if _, err := s.member.Write(ctx, nil, []statekv.Op{{Set: statekv.TypesKey, Value: types}}); err != nil {
+		slog.Debug("storing machine types", "err", err)
+	}
+}
+
+func (s *Steward) onList(machines []cloud.Machine, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := &s.fleet
+	f.last, f.lastAt = map[string]cloud.Machine{}, now
+	for _, m := range machines {
+		f.last[m.Name] = m
+		if f.listed[m.Name].IsZero() {
+			f.listed[m.Name] = now
+		}
+		if _, known := f.booting[m.Name]; !known && f.deleted[m.Name].IsZero() && m.Status != "failed" {
+			f.booting[m.Name] = boot{pool{m.Type, m.Zone, m.Spot}, now.Add(-time.Duration(m.AgeS * float64(time.Second)))}
+		}
+	}
+	// A machine that was listed stays so until it is gone; a list may be older
+	// than the one before, so this counts only some time after the first.
+	for name := range f.booting {
+		if at := f.listed[name]; !at.IsZero() && now.Sub(at) > 3*s.settings.CloudListLag {
+			if _, ok := f.last[name]; !ok {
+				delete(f.booting, name)
+			}
+		}
+	}
+}
+
+// runFleet rents and returns machines while this controller is steward.
+func (s *Steward) runFleet(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if s.Epoch() == 0 || !s.member.Certain() || len(s.catalogue.Types()) == 0 {
+			continue
+		}
+		rentals, returns, deletes := s.planFleet(time.Now())
+		for _, r := range rentals {
+			s.rent(ctx, r)
+		}
+		s.giveBack(ctx, returns)
+		s.remove(ctx, deletes)
+	}
+}
+
+// planFleet decides what to rent, what idle machines to return, and which
+// machines are lost and have to be deleted.
+func (s *Steward) planFleet(now time.Time) (rentals []cloud.Rental, returns, deletes []string) {
+	types := s.catalogue.Types()
+	entries := s.feed.Entries()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := &s.fleet
+	var bins []*bin
+	idle := map[string]time.Duration{}
+	present := map[string]bool{}
+	for _, e := range entries {
+		present[e.Machine] = true
+		delete(f.booting, e.Machine)
+		if lost := s.isLost(&e, now); lost != "" {
+			slog.Info("machine lost", "machine", e.Machine, "why", lost)
+			deletes = append(deletes, e.Machine)
+			continue
+		}
+		t, ok := types[e.Type]
+		if !ok || e.Silent || e.Notice {
+			continue
+		}
+		if e.Faulty || e.Draining {
+			if len(e.Tasks) == 0 {
+				returns = append(returns, e.Machine)
+			}
+			continue
+		}
+		b := &bin{name: e.Machine, typeName: e.Type, zone: e.Zone, spot: e.Spot, free: job.Capacity(t), empty: len(e.Tasks) == 0}
+		for _, t := range e.Tasks {
+			if t.State != "ended" {
+				b.free = b.free.Add(t.Need, -1)
+			}
+		}
+		if e.Idle > 0 && b.empty {
+			idle[e.Machine] = e.Idle
+		}
+		bins = append(bins, b)
+	}
+	for name := range s.held {
+		if !present[name] {
+			delete(s.held, name)
+		}
+	}
+	for name, b := range f.booting {
+		t := types[b.typeName]
+		if age := now.Sub(b.since); age > 3*t.Boot()+15*time.Second {
+			slog.Info("boot is too late", "machine", name, "age", age.Round(time.Second))
+			deletes = append(deletes, name)
+			continue
+		}
+		bins = append(bins, &bin{name: name, typeName: b.typeName, zone: b.zone, spot: b.spot, free: job.Capacity(t), empty: true})
+	}
+	var demands []Demand
+	for host, d := range s.demand {
+		if now.Sub(d.at) > 15*time.Second {
+			delete(s.demand, host)
+			continue
+		}
+		for _, j := range d.jobs {
+			if j.Waiting > 0 {
+				demands = append(demands, j)
+			}
+		}
+	}
+	demands = s.withinLimits(demands)
+	if f.retry != nil {
+		rentals = append(rentals, *f.retry)
+	}
+	rent := packing(demands, bins, offers(types, func(p pool) bool { return now.Before(f.shut[p]) }), 20)
+	if f.retry == nil {
+		for p, n := range rent {
+			f.requests++
+			rentals = append(rentals, cloud.Rental{Request: fmt.Sprintf("r-%d-%d", s.epoch, f.requests), Type: p.typeName, Zone: p.zone, Spot: p.spot, Count: n})
+		}
+	}
+	for _, b := range bins {
+		if d, ok := idle[b.name]; ok && !b.used && d > s.policy.IdleReturn {
+			returns = append(returns, b.name)
+		}
+	}
+	return rentals, returns, deletes
+}
+
+// withinLimits cuts the demand down to what the teams' limits let run.
+func (s *Steward) withinLimits(demands []Demand) []Demand {
+	use, _ := s.usage()
+	for i := range demands {
+		d := &demands[i]
+		team, limited := s.settings.Teams[d.Spec.Team], s.settings.Limited(d.Spec.Team)
+		if !limited {
+			continue
+		}
+		const none = 1e18
+		room := job.Need{CPUs: none, GPUs: none, MemoryGB: none}
+		if team.CPUsMax > 0 {
+			room.CPUs = team.CPUsMax - use[d.Spec.Team].CPUs
+		}
+		if team.GPUsMax > 0 {
+			room.GPUs = team.GPUsMax - use[d.Spec.Team].GPUs
+		}
+		d.Waiting = min(d.Waiting, d.Spec.Count(room))
+		use[d.Spec.Team] = use[d.Spec.Team].Add(d.Spec.Need, float64(d.Waiting))
+	}
+	return demands
+}
+
+// isLost says why a machine will not come back, or nothing.
+func (s *Steward) isLost(e *agent.Entry, now time.Time) string {
+	f := &s.fleet
+	if !e.Silent {
+		delete(f.silent, e.Machine)
+		return ""
+	}
+	if f.silent[e.Machine].IsZero() {
+		f.silent[e.Machine] = now
+	}
+	listed, ok := f.last[e.Machine]
+	switch {
+	case ok && listed.Status == "failed":
+		return "failed"
+	case e.Notice:
+		return "taken on notice"
+	case !ok && !f.listed[e.Machine].IsZero() && now.Sub(f.lastAt) < 10*time.Second:
+		return "no longer listed"
+	case now.Sub(f.silent[e.Machine]) > s.settings.GoneAfter():
+		return "silent for longer than its lease"
+	}
+	return ""
+}
+
+func (s *Steward) rent(ctx context.Context, r cloud.Rental) {
+	now := time.Now()
+	cctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	names, err := s.cloud.Rent(cctx, r)
+	cancel()
+	p := pool{r.Type, r.Zone, r.Spot}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := &s.fleet
+	f.retry = nil
+	switch {
+	case errors.Is(err, cloud.ErrNoCapacity):
+		f.shut[p] = now.Add(10 * time.Second)
+	case err != nil:
+		slog.Info("rental unanswered", "request", r.Request, "err", err)
+		f.retry = &r
+		return
+	case len(names) < r.Count:
+		f.shut[p] = now.Add(10 * time.Second)
+	}
+	for _, name := range names {
+		f.booting[name] = boot{p, now}
+	}
+	slog.Info("rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "wanted", r.Count, "got", len(names))
+}
+
+// giveBack drains idle machines, which their owners refuse if a task has come
+// in between, and deletes those that are drained.
+func (s *Steward) giveBack(ctx context.Context, names []string) {
+	byHost := map[string][]string{}
+	for _, name := range names {
+		if host, ok := s.feed.Owner(name); ok {
+			byHost[host] = append(byHost[host], name)
+		}
+	}
+	for host, names := range byHost {
+		var reply agent.MachinesReply
+		cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		err := s.call.Call(cctx, host, "Agent.Drain", agent.MachinesRequest{Names: names, On: true}, &reply)
+		cancel()
+		if err != nil {
+			slog.Debug("draining machines", "host", host, "err", err)
+			continue
+		}
+		s.remove(ctx, reply.Names)
+	}
+}
+
+// remove deletes machines in the cloud and then tells their owners.
+func (s *Steward) remove(ctx context.Context, names []string) {
+	for chunk := range slices.Chunk(names, 100) {
+		cctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		err := s.cloud.Delete(cctx, chunk)
+		cancel()
+		if err != nil {
+			slog.Info("deleting machines", "names", chunk, "err", err)
+			return
+		}
+		slog.Info("returned", "machines", chunk)
+		s.mu.Lock()
+		for _, name := range chunk {
+			delete(s.fleet.booting, name)
+			s.fleet.deleted[name] = time.Now()
+		}
+		s.mu.Unlock()
+		byHost := map[string][]string{}
+		for _, name := range chunk {
+			if host, ok := s.feed.Owner(name); ok {
+				byHost[host] = append(byHost[host], name)
+			}
+		}
+		for host, names := range byHost {
+			cctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+			if err := s.call.Call(cctx, host, "Agent.Removed", agent.MachinesRequest{Names: names}, &agent.MachinesReply{}); err != nil {
+				slog.Debug("telling an owner of deleted machines", "host", host, "err", err)
+			}
+			cancel()
+		}
+	}
+}
--- /dev/null
+++ b/steward/steward.go
@@ -0,0 +1,270 @@
+// Package steward decides how much each team may hold and how many machines
+// the fleet has. One controller at a time is steward; it never picks a machine
+// for a task.
+package steward
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/cloud"
+	"robinstack/config"
+	"robinstack/job"
+	"robinstack/policy"
+	"robinstack/statekv"
+	"robinstack/worker"
+)
+
+// account is what a task takes of its team's limit.
+type account struct {
+	team string
+	need job.Need
+}
+
+type permit struct {
+	account
+	slot  string
+	epoch uint64
+}
+
+// Steward is the role on this controller, whether it holds it or not.
+type Steward struct {
+	settings  *config.Settings
+	policy    *policy.Policy
+	mirror    *statekv.Mirror
+	member    *statekv.Member
+	call      agent.Caller
+	cloud     cloud.API
+	catalogue *cloud.Catalogue
+	feed      *agent.Feed
+
+	mu      sync.Mutex
+	epoch   uint64 // 0: not steward
+	cleared map[string]bool
+	settled bool
+	permits map[agent.TaskRef]permit
+	held    map[string]map[agent.TaskRef]account // per machine
+	demand  map[string]demandAt
+	fleet   fleet
+}
+
+type demandAt struct {
+	jobs []Demand
+	at   time.Time
+}
+
+// New returns a steward that does not hold the role yet.
+func New(settings *config.Settings, pol *policy.Policy, mirror *statekv.Mirror, member *statekv.Member, call agent.Caller, api cloud.API, catalogue *cloud.Catalogue) *Steward {
+	return &Steward{settings: settings, policy: pol, mirror: mirror, member: member, call: call, cloud: api, catalogue: catalogue,
+		permits: map[agent.TaskRef]permit{}, held: map[string]map[agent.TaskRef]account{}, demand: map[string]demandAt{}, fleet: newFleet()}
+}
+
+// Epoch is the steward epoch if this controller is steward, or 0.
+func (s *Steward) Epoch() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch
+}
+
+// Run takes the role when it is free and does its duties until ctx ends.
+func (s *Steward) Run(ctx context.Context, feed *agent.Feed) {
+	s.mu.Lock()
+	s.feed = feed
+	s.mu.Unlock()
+	var duties sync.WaitGroup
+	duties.Go(func() { s.runList(ctx) })
+	duties.Go(func() { s.runFleet(ctx) })
+	tick := time.NewTicker(300 * time.Millisecond)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		s.hold(ctx)
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+	duties.Wait()
+}
+
+func (s *Steward) hold(ctx context.Context) {
+	kv, ok := s.mirror.Get(statekv.StewardKey)
+	var h statekv.Holder
+	if ok && json.Unmarshal(kv.Value, &h) != nil {
+		h = statekv.Holder{}
+	}
+	if ok && h != s.member.Holder && s.member.Alive(h) {
+		s.mu.Lock()
+		s.epoch = 0
+		s.mu.Unlock()
+		return
+	}
+	if !ok || h != s.member.Holder {
+		if !s.member.Certain() {
+			return
+		}
+		tctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+		defer cancel()
+		rev, err := s.member.Take(tctx, statekv.StewardKey, kv.Rev, s.member.Holder)
+		if err != nil || s.mirror.Wait(tctx, rev) != nil {
+			return
+		}
+		s.mu.Lock()
+		s.epoch, s.settled, s.cleared = rev, false, map[string]bool{}
+		s.permits = map[agent.TaskRef]permit{}
+		s.fleet = newFleet()
+		s.mu.Unlock()
+		slog.Info("steward", "epoch", rev)
+	}
+	s.settle()
+}
+
+// settle checks which machines have shown all that was started under earlier
+// stewards; the ledger counts from the moment all have.
+func (s *Steward) settle() {
+	s.mu.Lock()
+	epoch, settled := s.epoch, s.settled
+	s.mu.Unlock()
+	if epoch == 0 || settled {
+		return
+	}
+	left := 0
+	for _, kv := range s.mirror.Prefix(statekv.MachinePrefix) {
+		name := strings.TrimPrefix(kv.Key, statekv.MachinePrefix)
+		ok := s.feed.SettledSince(kv, epoch)
+		s.mu.Lock()
+		if ok {
+			s.cleared[name] = true
+		}
+		if !s.cleared[name] {
+			left++
+		}
+		s.mu.Unlock()
+	}
+	if left > 0 {
+		return
+	}
+	s.OnEntries(s.feed.Entries())
+	s.mu.Lock()
+	s.settled = true
+	s.mu.Unlock()
+	slog.Info("steward's ledger settled")
+}
+
+// OnEntries keeps the ledger of what is on the machines.
+func (s *Steward) OnEntries(entries []agent.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range entries {
+		if e.Gone {
+			delete(s.held, e.Machine)
+			continue
+		}
+		old := s.held[e.Machine]
+		now := map[agent.TaskRef]account{}
+		if !e.Settled {
+			// An earlier owner's starts may not have shown up yet.
+			for ref, a := range old {
+				now[ref] = a
+			}
+		}
+		for _, t := range e.Tasks {
+			if t.State == worker.Ended {
+				delete(now, t.TaskRef)
+				continue
+			}
+			a := account{team: t.Team, need: t.Need}
+			if !t.Known {
+				a = old[t.TaskRef]
+				if p, ok := s.permits[t.TaskRef]; ok {
+					a = p.account
+				}
+			}
+			now[t.TaskRef] = a
+			delete(s.permits, t.TaskRef)
+		}
+		s.held[e.Machine] = now
+	}
+}
+
+// usage sums what each team holds or is permitted to start; known is false
+// while there is a task whose team is not known.
+func (s *Steward) usage() (use map[string]job.Need, known bool) {
+	use, known = map[string]job.Need{}, true
+	for _, tasks := range s.held {
+		for _, a := range tasks {
+			known = known && a.team != ""
+			use[a.team] = use[a.team].Add(a.need, 1)
+		}
+	}
+	for _, p := range s.permits {
+		use[p.team] = use[p.team].Add(p.need, 1)
+	}
+	return use, known
+}
+
+// Service is what placers call.
+type Service struct{ steward *Steward }
+
+// NewService returns the net/rpc service of a steward.
+func NewService(s *Steward) *Service { return &Service{steward: s} }
+
+// Permit grants what the teams' limits leave room for. A permit stands until
+// the task has shown up on a machine or the placer gives it back.
+func (v *Service) Permit(r PermitRequest, reply *PermitReply) error {
+	s := v.steward
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epoch == 0 || !s.member.Certain() {
+		return errors.New("not steward")
+	}
+	for _, ref := range r.Release {
+		delete(s.permits, ref)
+	}
+	if r.Settled {
+		for ref, p := range s.permits {
+			if p.slot == r.Slot && p.epoch < r.Epoch {
+				delete(s.permits, ref)
+			}
+		}
+	}
+	reply.Epoch = s.epoch
+	reply.Granted = make([]bool, len(r.Wants))
+	use, known := s.usage()
+	if !s.settled || !known {
+		return nil
+	}
+	for i, w := range r.Wants {
+		team := s.settings.Teams[w.Team]
+		total := use[w.Team].Add(w.Need, 1)
+		if team.CPUsMax > 0 && total.CPUs > team.CPUsMax || team.GPUsMax > 0 && total.GPUs > team.GPUsMax {
+			continue
+		}
+		use[w.Team] = total
+		s.permits[w.Ref] = permit{account: account{team: w.Team, need: w.Need}, slot: r.Slot, epoch: r.Epoch}
+		reply.Granted[i] = true
+	}
+	return nil
+}
+
+// Demand takes note of what a controller's jobs need.
+func (v *Service) Demand(r DemandRequest, _ *struct{}) error {
+	s := v.steward
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.demand[r.Host] = demandAt{jobs: r.Jobs, at: time.Now()}
+	return nil
+}
+
+// TeamUse is what a team holds, for the status page.
+func (s *Steward) TeamUse() (use map[string]job.Need, steward bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	use, _ = s.usage()
+	return use, s.epoch != 0
+}
--- /dev/null
+++ b/steward/wire.go
@@ -0,0 +1,42 @@
+package steward
+
+import (
+	"robinstack/agent"
+	"robinstack/job"
+)
+
+// Want is a task for which a placer asks a permit.
+type Want struct {
+	Ref  agent.TaskRef
+	Team string
+	Need job.Need
+}
+
+// PermitRequest asks for permits, or gives back those that were not used.
+type PermitRequest struct {
+	Slot    string
+	Epoch   uint64
+	Wants   []Want
+	Release []agent.TaskRef
+	Settled bool // the slot has settled: earlier epochs' unused permits are void
+}
+
+// PermitReply says which were granted.
+type PermitReply struct {
+	Granted []bool
+	Epoch   uint64
+}
+
+// Demand is a job with tasks that wait or run, as its placer sees it.
+type Demand struct {
+	Spec    job.Spec
+	Waiting int
+	Running int
+	AgeS    float64
+}
+
+// DemandRequest tells the steward what a controller's jobs need.
+type DemandRequest struct {
+	Host string
+	Jobs []Demand
+}
