--- a/agent/service.go
+++ b/agent/service.go
@@ -297,14 +297,16 @@
 	if a.mirror.Wait(ctx, r.MinRev) != nil {
 		return errors.New("agent has not caught up with the state service")
 	}
+	since, first := r.Since, false
+	if r.Instance != a.member.Instance {
+		since, first = 0, true
+	}
 	for {
 		a.mu.Lock()
-		since := r.Since
-		if r.Instance != a.member.Instance {
-			since = 0
-		}
 		changed := a.changed
-		if a.ver > since || since == 0 || ctx.Err() != nil {
+		// Only the first answer of a life comes at once whatever there is: an
+		// agent without machines must not be asked in a tight loop.
+		if a.ver > since || first || ctx.Err() != nil {
 			now := time.Now()
 			reply.Host, reply.Instance, reply.Ver = a.member.Host, a.member.Instance, a.ver
 			reply.StateOK = a.member.Certain()
