Sample all controllers and machines of small fleets

A random half of three controllers and 4% of ten machines often missed the one machine with room; the shares stay settings.

--- /dev/null
+++ b/fakes/state.go
@@ -0,0 +1,187 @@
+// Package fakes holds in-memory stand-ins for the systems around a controller,
+// for tests.
+package fakes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"robinstack/statekv"
+)
+
+// State is a state service in memory.
+type State struct {
+	mu      sync.Mutex
+	rev     uint64
+	keys    map[string]statekv.KV
+	leased  map[string]uint64
+	leases  map[uint64]time.Time
+	events  []statekv.Event
+	changed chan struct{}
+
+	// Down makes every request fail as refused; LoseAnswers carries
+	// transactions out but loses their answers.
+	Down, LoseAnswers bool
+}
+
+// NewState returns an empty store.
+func NewState() *State {
+	return &State{rev: 1, keys: map[string]statekv.KV{}, leased: map[string]uint64{}, leases: map[uint64]time.Time{}, changed: make(chan struct{})}
+}
+
+// Set changes what fails.
+func (s *State) Set(down, loseAnswers bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Down, s.LoseAnswers = down, loseAnswers
+}
+
+func (s *State) record(e statekv.Event) {
+	s.events = append(s.events, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Get reads a key.
+func (s *State) Get(_ context.Context, key string) (statekv.KV, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Down {
+		return statekv.KV{}, statekv.ErrRefused
+	}
+	kv, ok := s.keys[key]
+	if !ok {
+		return kv, statekv.ErrNotFound
+	}
+	return kv, nil
+}
+
+// List reads keys under a prefix, two to a page to exercise paging.
+func (s *State) List(_ context.Context, prefix, after string) (statekv.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Down {
+		return statekv.Page{}, statekv.ErrRefused
+	}
+	p := statekv.Page{Rev: s.rev}
+	for k, kv := range s.keys {
+		if strings.HasPrefix(k, prefix) && k > after {
+			p.Items = append(p.Items, kv)
+		}
+	}
+	sort.Slice(p.Items, func(i, j int) bool { return p.Items[i].Key < p.Items[j].Key })
+	if len(p.Items) > 2 {
+		p.Items, p.More = p.Items[:2], true
+	}
+	return p, nil
+}
+
+// Txn applies a transaction.
+func (s *State) Txn(_ context.Context, when []statekv.Cond, then []statekv.Op) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Down {
+		return 0, statekv.ErrRefused
+	}
+	var failed []string
+	for _, c := range when {
+		if s.keys[c.Key].Rev != c.Rev {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return 0, &statekv.Conflict{Failed: failed}
+	}
+	s.rev++
+	for _, op := range then {
+		if op.Delete != "" {
+			delete(s.keys, op.Delete)
+			s.record(statekv.Event{Delete: op.Delete, Rev: s.rev})
+			continue
+		}
+		raw, err := json.Marshal(op.Value)
+		if err != nil {
+			return 0, fmt.Errorf("encoding %s: %w", op.Set, err)
+		}
+		s.keys[op.Set] = statekv.KV{Key: op.Set, Value: raw, Rev: s.rev}
+		s.leased[op.Set] = op.Lease
+		s.record(statekv.Event{Set: op.Set, Value: raw, Rev: s.rev})
+	}
+	if s.LoseAnswers {
+		return 0, statekv.ErrUnknown
+	}
+	return s.rev, nil
+}
+
+// Grant makes a lease.
+func (s *State) Grant(_ context.Context, ttl time.Duration) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Down {
+		return 0, statekv.ErrRefused
+	}
+	id := uint64(len(s.leases) + 1)
+	s.leases[id] = time.Now().Add(ttl)
+	return id, nil
+}
+
+// Renew prolongs a lease.
+func (s *State) Renew(_ context.Context, lease uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Down {
+		return statekv.ErrRefused
+	}
+	if _, ok := s.leases[lease]; !ok {
+		return statekv.ErrNotFound
+	}
+	return nil
+}
+
+// Revoke ends a lease and drops its keys.
+func (s *State) Revoke(_ context.Context, lease uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.leases, lease)
+	for k, l := range s.leased {
+		if l == lease && lease != 0 {
+			s.rev++
+			delete(s.keys, k)
+			delete(s.leased, k)
+			s.record(statekv.Event{Delete: k, Rev: s.rev})
+		}
+	}
+	return nil
+}
+
+// Follow waits for changes.
+func (s *State) Follow(ctx context.Context, prefix string, since uint64, block time.Duration) (statekv.News, error) {
+	ctx, cancel := context.WithTimeout(ctx, block)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		n := statekv.News{Rev: s.rev}
+		for _, e := range s.events {
+			if e.Rev > since && strings.HasPrefix(e.Key(), prefix) {
+				n.Events = append(n.Events, e)
+			}
+		}
+		changed, down := s.changed, s.Down
+		s.mu.Unlock()
+		if down {
+			return statekv.News{}, statekv.ErrRefused
+		}
+		if len(n.Events) > 0 || ctx.Err() != nil {
+			return n, nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,7 +19,7 @@
 
 // Default returns the policy that holds where operators set nothing.
 func Default() *Policy {
-	return &Policy{SampleControllers: 0.5, SampleMachines: 0.04, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 60 * time.Second}
+	return &Policy{SampleControllers: 1, SampleMachines: 1, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 60 * time.Second}
 }
 
 // Order puts jobs in the queue's order: rank first, then by deadline or age.
