Return idle machines; keep a new steward from deleting working ones; close claims once

A new steward took listed machines whose entries had not come for late boots and deleted them. Claims that met a conflict were closed twice and ended the process.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -220,7 +220,9 @@
 	for _, t := range m.tasks {
 		t.settle(Unsettled)
 	}
-	close(m.quit)
+	if !m.gone { // a deleted machine whose late report another controller met has stopped already
+		close(m.quit)
+	}
 	delete(a.machines, m.name)
 }
 
@@ -311,7 +313,7 @@
 		}
 		// Some were claimed by others, or by a write of ours whose answer was
 		// lost: look each of them up and keep the rest.
-		batch = batch[:0]
+		batch = nil // the caller's slice stays as it is: it closes every claim once
 		for _, c := range wanted {
 			kv, err := a.store.Get(ctx, statekv.MachinePrefix+c.name)
 			var key MachineKey
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -82,6 +82,7 @@
 			if ok && (old.Rev > e.Rev || old.Rev == e.Rev && old.Ver >= e.Ver) {
 				continue
 			}
+			e.Received = time.Now()
 			f.entries[e.Machine] = e
 			news = append(news, e)
 		}
--- a/agent/service.go
+++ b/agent/service.go
@@ -341,7 +341,7 @@
 	e := Entry{Machine: m.name, Host: host, Rev: m.rev, Ver: m.ver, Type: m.typeName, Zone: m.zone, Spot: m.spot,
 		Settled: m.settled, Draining: m.draining, Silent: m.silent, Faulty: m.faulty, Gone: m.gone, Notice: !m.noticeAt.IsZero()}
 	if !m.idleSince.IsZero() {
-		e.Idle = now.Sub(m.idleSince)
+		e.Idle = max(time.Millisecond, now.Sub(m.idleSince))
 	}
 	for _, t := range m.tasks {
 		if t.state == stateHeld {
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -125,9 +125,19 @@
 	Gone     bool
 	Notice   bool
 	Idle     time.Duration // time without tasks, when the entry was made
+	Received time.Time     // when the feed got it, by the receiver's clock
 	Tasks    []TaskEntry
 }
 
+// IdleFor is how long the machine has had no tasks by now, or 0. Entries come
+// only with changes, so the time since then counts too.
+func (e *Entry) IdleFor(now time.Time) time.Duration {
+	if e.Idle == 0 || len(e.Tasks) > 0 {
+		return 0
+	}
+	return e.Idle + now.Sub(e.Received)
+}
+
 // TaskEntry is a task on a machine.
 type TaskEntry struct {
 	TaskRef
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -161,8 +161,8 @@
 				b.free = b.free.Add(t.Need, -1)
 			}
 		}
-		if e.Idle > 0 && b.empty {
-			idle[e.Machine] = e.Idle
+		if d := e.IdleFor(now); d > 0 {
+			idle[e.Machine] = d
 		}
 		bins = append(bins, b)
 	}
@@ -172,6 +172,12 @@
 		}
 	}
 	for name, b := range f.booting {
+		if _, owned := s.mirror.Get(statekv.MachinePrefix + name); owned {
+			// It is up; its owner's entry just has not come yet. To a new
+			// steward that is every machine at first.
+			delete(f.booting, name)
+			continue
+		}
 		t := types[b.typeName]
 		if age := now.Sub(b.since); age > 3*t.Boot()+15*time.Second {
 			slog.Info("boot is too late", "machine", name, "age", age.Round(time.Second))
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -63,7 +63,8 @@
 	rent := map[pool]int{}
 	total := 0
 	for _, d := range demands {
-		left := d.Waiting
+		k := rounds(&d, time.Minute)
+		left := (d.Waiting + k - 1) / k
 		// The fullest bin first, as placing does it.
 		slices.SortStableFunc(bins, func(a, b *bin) int {
 			return cmp.Or(cmp.Compare(d.Spec.Count(a.free), d.Spec.Count(b.free)), cmp.Compare(a.name, b.name))
@@ -96,6 +97,17 @@
 	return rent
 }
 
+// rounds is how many times over a place can serve a job's tasks before its
+// deadline, going by the owner's estimate, which may be too low by half, and
+// leaving time for a machine to come up. Jobs without a deadline do not wait.
+func rounds(d *Demand, boot time.Duration) int {
+	if d.Spec.DeadlineS == nil || d.Spec.EstimateS <= 0 {
+		return 1
+	}
+	left := *d.Spec.DeadlineS - d.AgeS - boot.Seconds()
+	return max(1, int(left/(1.3*d.Spec.EstimateS+10)))
+}
+
 // cheapest picks the offer with the lowest price per task that it would hold.
 func cheapest(spec *job.Spec, left int, onOffer []offer) (best offer, fits int) {
 	bestCost := 0.0
