--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,330 @@
+package agent_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/cloud"
+	"robinstack/config"
+	"robinstack/fakes"
+	"robinstack/job"
+	"robinstack/statekv"
+	"robinstack/worker"
+)
+
+var types = map[string]cloud.MachineType{"box": {Name: "box", CPUs: 8, GPUs: 2, MemoryGB: 64}}
+
+func settings() *config.Settings {
+	return &config.Settings{Host: "host-0", Teams: map[string]config.Team{},
+		Workers: config.Workers{Report: 3 * time.Second, Lease: 30 * time.Second, GangWait: 45 * time.Second, GangPeer: 5 * time.Second, CancelGone: 60 * time.Second},
+		State:   config.State{RPS: 100, WriteRPS: 50, ValueBytes: 8192, TxnOps: 24}}
+}
+
+// node is one controller's agent with its view of the state service.
+type node struct {
+	agent   *agent.Agent
+	service *agent.Service
+	member  *statekv.Member
+	mirror  *statekv.Mirror
+	stop    context.CancelFunc
+}
+
+func start(t *testing.T, ctx context.Context, host string, state *fakes.State, workers *fakes.Workers) *node {
+	t.Helper()
+	ctx, stop := context.WithCancel(ctx)
+	mirror := statekv.NewMirror(state, statekv.FleetPrefix, statekv.RootPrefix, func([]statekv.Event) {})
+	if err := mirror.Load(ctx); err != nil {
+		t.Fatal(err)
+	}
+	member, err := statekv.Join(ctx, state, mirror, host, 4*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := agent.New(settings(), state, mirror, member, workers, func() map[string]cloud.MachineType { return types })
+	go mirror.Run(ctx)
+	go func() { _ = member.Keep(ctx) }()
+	go a.Run(ctx)
+	if err := mirror.Wait(ctx, member.Instance); err != nil {
+		t.Fatal(err)
+	}
+	return &node{agent: a, service: agent.NewService(a), member: member, mirror: mirror, stop: stop}
+}
+
+// report has a worker report to n and take the answer.
+func (n *node) report(workers *fakes.Workers, w *fakes.Worker) agent.Reply {
+	r := workers.Next(w)
+	reply := n.agent.Report(context.Background(), &r)
+	if reply.Owner {
+		workers.Answer(w, reply.Answer)
+	}
+	return reply
+}
+
+func (n *node) entries() map[string]agent.Entry {
+	out := map[string]agent.Entry{}
+	_, list := n.agent.Snapshot()
+	for _, e := range list {
+		out[e.Machine] = e
+	}
+	return out
+}
+
+func (n *node) commit(t *testing.T, machine string, slot string, epoch uint64, index int, attempt uint64) string {
+	t.Helper()
+	req := agent.CommitRequest{Machine: machine, Rev: n.entries()[machine].Rev, Refs: []agent.TaskRef{{Job: "wk-1", Index: index, Attempt: attempt}}}
+	req.Spec = job.Spec{ID: "wk-1", Shape: job.Array, Rank: "normal", Tasks: 9, Need: job.Need{CPUs: 1, GPUs: 1, MemoryGB: 1}}
+	req.Slot, req.Epoch = slot, epoch
+	var reply agent.CommitReply
+	if err := n.service.Commit(req, &reply); err != nil {
+		t.Fatal(err)
+	}
+	return reply.Verdicts[0]
+}
+
+func held(workers *fakes.Workers, w *fakes.Worker) (n int) {
+	workers.Do(func() { n = len(w.Report.Tasks) })
+	return n
+}
+
+func story(t *testing.T, f func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { cancel(); synctest.Wait() }()
+		f(t, ctx, fakes.NewState(), fakes.NewWorkers())
+	})
+}
+
+func slot(t *testing.T, n *node, name string, seen uint64) uint64 {
+	t.Helper()
+	rev, err := n.member.Take(context.Background(), statekv.SlotPrefix+name, seen, n.member.Holder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.mirror.Wait(context.Background(), rev); err != nil {
+		t.Fatal(err)
+	}
+	return rev
+}
+
+// A start whose command got no answer is neither repeated nor given up until
+// the worker shows a token under which a late copy of it is dead. Guards
+// against ran_twice.
+func TestUnansweredStartIsFencedOff(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		epoch := slot(t, n, "s", 0)
+		w := workers.Add("m1", "box", "a")
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		workers.Do(func() { w.Deaf = true })
+		if got := n.commit(t, "m1", "s", epoch, 0, 1); got != agent.Unsettled {
+			t.Fatalf("verdict %q while the command is unanswered", got)
+		}
+		if len(n.entries()["m1"].Tasks) != 1 {
+			t.Fatal("the task must keep its place while it may still start")
+		}
+		workers.Do(func() { w.Deaf = false })
+		n.report(workers, w)
+		time.Sleep(3 * time.Second)
+		n.report(workers, w)
+		if got := n.entries()["m1"].Tasks; len(got) != 0 {
+			t.Fatalf("task %v is still booked after the worker showed the raised token without it", got)
+		}
+		workers.DeliverLate(w)
+		if len(w.Starts) != 0 {
+			t.Fatalf("late command started %v", w.Starts)
+		}
+	})
+}
+
+// A commit under an epoch older than the slot's latest is refused.
+func TestStalePlacerIsRefused(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		old := slot(t, n, "s", 0)
+		w := workers.Add("m1", "box", "a")
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		latest := slot(t, n, "s", old)
+		if got := n.commit(t, "m1", "s", old, 0, 1); got != agent.Refused {
+			t.Fatalf("stale commit: %q", got)
+		}
+		if got := n.commit(t, "m1", "s", latest, 0, 2); got != agent.Started {
+			t.Fatalf("latest commit: %q", got)
+		}
+	})
+}
+
+// When an owner's life ends, a survivor takes its machines, and the earlier
+// owner's commands no longer pass at the worker.
+func TestSurvivorTakesOverAndFences(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		a, b := start(t, ctx, "host-0", state, workers), start(t, ctx, "host-1", state, workers)
+		epoch := slot(t, a, "s", 0)
+		w := workers.Add("m1", "box", "a")
+		a.report(workers, w)
+		time.Sleep(time.Second)
+		if _, err := state.Txn(ctx, nil, []statekv.Op{{Set: job.OpenKey("wk-1"), Value: job.Record{Spec: job.Spec{ID: "wk-1", Tasks: 9}, Slot: "s"}}}); err != nil {
+			t.Fatal(err)
+		}
+		if got := a.commit(t, "m1", "s", epoch, 0, 1); got != agent.Started {
+			t.Fatalf("verdict %q", got)
+		}
+		var oldToken uint64
+		workers.Do(func() { oldToken = w.Report.Token })
+		a.stop()
+		synctest.Wait()
+		if err := state.Revoke(ctx, 1); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		e, ok := b.entries()["m1"]
+		if !ok || !e.Settled || len(e.Tasks) != 1 {
+			t.Fatalf("survivor's entry: %+v (%v)", e, ok)
+		}
+		if _, done, _ := workers.Command(ctx, "m1", oldToken, 1, nil); done {
+			t.Fatal("the dead owner's token still passes")
+		}
+	})
+}
+
+// Tasks found on a machine whose job is over, or was never known, are stopped
+// and forgotten by the machine's new owner. Guards against ran_cancelled.
+func TestTasksOfEndedJobsAreStopped(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		w := workers.Add("m1", "box", "a")
+		workers.Do(func() {
+			w.Report.Tasks = []worker.Task{{ID: "wk-1/0", Attempt: 7, State: worker.Running}}
+		})
+		n.report(workers, w)
+		time.Sleep(3 * time.Second)
+		if held(workers, w) != 0 {
+			t.Fatal("a task without a job goes on")
+		}
+	})
+}
+
+// Room that is reserved or may be taken by a start under way is not given twice.
+func TestNoRoomTwice(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		epoch := slot(t, n, "s", 0)
+		w := workers.Add("m1", "box", "a")
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		got := []string{n.commit(t, "m1", "s", epoch, 0, 1), n.commit(t, "m1", "s", epoch, 1, 2), n.commit(t, "m1", "s", epoch, 2, 3)}
+		if got[0] != agent.Started || got[1] != agent.Started || got[2] != agent.Refused {
+			t.Fatalf("verdicts %v on a machine with room for two", got)
+		}
+	})
+}
+
+// An ended task is forgotten only when that was asked for, which placers do
+// once its end is durable.
+func TestForgottenOnlyWhenAsked(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		epoch := slot(t, n, "s", 0)
+		w := workers.Add("m1", "box", "a")
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		n.commit(t, "m1", "s", epoch, 0, 1)
+		workers.End(w, "wk-1/0", worker.Done)
+		n.report(workers, w)
+		time.Sleep(2 * time.Second)
+		if held(workers, w) != 1 {
+			t.Fatal("forgotten before anyone asked")
+		}
+		if err := n.service.Stop(agent.StopRequest{Items: []agent.StopItem{{Machine: "m1", TaskRef: agent.TaskRef{Job: "wk-1", Attempt: 1}, Forget: true}}}, &struct{}{}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		if held(workers, w) != 0 {
+			t.Fatal("not forgotten")
+		}
+	})
+}
+
+// An agent without machines must not answer a watch at once again and again:
+// its own feed then asked in a loop that used up the processor.
+func TestWatchWithoutMachinesWaits(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		began := time.Now()
+		var reply agent.WatchReply
+		if err := n.service.Watch(agent.WatchRequest{Instance: n.member.Instance, Wait: 2 * time.Second}, &reply); err != nil {
+			t.Fatal(err)
+		}
+		if time.Since(began) < 2*time.Second {
+			t.Fatal("answered at once with nothing to say")
+		}
+	})
+}
+
+// Claims that meet a conflict, because another controller was faster for some
+// of the machines, ended the process: the rest must be claimed.
+func TestClaimsThatMeetAConflict(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		w1, w2 := workers.Add("m1", "box", "a"), workers.Add("m2", "box", "a")
+		state.Set(false, true) // claims are written, but their answers are lost
+		go n.report(workers, w1)
+		go n.report(workers, w2)
+		synctest.Wait()
+		state.Set(false, false)
+		time.Sleep(3 * time.Second)
+		n.report(workers, w1)
+		n.report(workers, w2)
+		if len(n.entries()) != 2 {
+			t.Fatalf("machines %v", n.entries())
+		}
+	})
+}
+
+// A machine that was deleted and whose late report another controller met is
+// given up once more: that must not end the process.
+func TestDeletedMachineClaimedAgain(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n, other := start(t, ctx, "host-0", state, workers), start(t, ctx, "host-1", state, workers)
+		w := workers.Add("m1", "box", "a")
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		var reply agent.MachinesReply
+		if err := n.service.Removed(agent.MachinesRequest{Names: []string{"m1"}}, &reply); err != nil || len(reply.Names) != 1 {
+			t.Fatal(err, reply)
+		}
+		time.Sleep(time.Second)
+		other.report(workers, w)
+		time.Sleep(2 * time.Second)
+		if len(n.entries()) != 0 || len(other.entries()) != 1 {
+			t.Fatal("the late report belongs to the other controller now")
+		}
+	})
+}
+
+// A worker that nobody can have answered for longer than its lease has ended
+// its tasks; before that they keep their places.
+func TestSilentMachineKeepsItsTasksForTheLease(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		epoch := slot(t, n, "s", 0)
+		w := workers.Add("m1", "box", "a")
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		n.commit(t, "m1", "s", epoch, 0, 1)
+		n.report(workers, w)
+		workers.Do(func() { w.Deaf = true })
+		time.Sleep(28 * time.Second)
+		if e := n.entries()["m1"]; !e.Silent || len(e.Tasks) != 1 {
+			t.Fatalf("within the lease: %+v", e)
+		}
+		time.Sleep(6 * time.Second)
+		if e := n.entries()["m1"]; len(e.Tasks) != 0 {
+			t.Fatalf("after the lease: %+v", e)
+		}
+	})
+}
--- /dev/null
+++ b/placer/choose_test.go
@@ -0,0 +1,51 @@
+package placer
+
+import (
+	"slices"
+	"testing"
+
+	"robinstack/agent"
+	"robinstack/job"
+)
+
+func TestPlanRanksAndFallsBack(t *testing.T) {
+	cs := []agent.Candidate{{Machine: "m1", Fits: 1, Score: 10}, {Machine: "m2", Fits: 2, Score: 90}, {Machine: "m3", Fits: 1, Score: 50}}
+	rank(cs)
+	lists := plan(cs, 5, 2)
+	var first []string
+	for _, l := range lists {
+		first = append(first, l[0].Machine)
+		if len(l) != 2 || l[0].Machine == l[1].Machine {
+			t.Fatalf("fallbacks %v", l)
+		}
+	}
+	if !slices.Equal(first, []string{"m2", "m2", "m3", "m1"}) {
+		t.Fatalf("first choices %v", first)
+	}
+}
+
+func TestGangZoneHoldsTheWholeGang(t *testing.T) {
+	cs := []agent.Candidate{{Machine: "m1", Zone: "a", Fits: 1, Score: 99}, {Machine: "m2", Zone: "b", Fits: 1}, {Machine: "m3", Zone: "b", Fits: 1}}
+	if z := gangZone(cs, 2); z != "b" {
+		t.Fatalf("zone %q", z)
+	}
+	if z := gangZone(cs, 3); z != "" {
+		t.Fatalf("zone %q cannot hold three", z)
+	}
+}
+
+// wrong_place: one_zone and spread look at where the job's other tasks are.
+func TestZonesOpenToFurtherTasks(t *testing.T) {
+	zones := []string{"a", "b", "c"}
+	if z := openZones(&job.Spec{OneZone: true, Tasks: 4}, map[string]int{"b": 1}, zones); !slices.Equal(z, []string{"b"}) {
+		t.Fatalf("one zone: %v", z)
+	}
+	spread := &job.Spec{Spread: true, Tasks: 5}
+	if z := openZones(spread, map[string]int{"a": 3, "b": 1}, zones); !slices.Equal(z, []string{"b", "c"}) {
+		t.Fatalf("spread: %v", z)
+	}
+	lists := [][]agent.Candidate{{{Zone: "a"}}, {{Zone: "b"}, {Zone: "a"}}}
+	if out := spreadOut(lists, map[string]int{"a": 3}, 3); len(out) != 1 || len(out[0]) != 1 || out[0][0].Zone != "b" {
+		t.Fatalf("spread out: %v", out)
+	}
+}
