--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -328,3 +328,39 @@
 		}
 	})
 }
+
+// Tasks of arrays are stopped for a gang of higher priority, never for one of
+// the same, and the machine is kept for that gang.
+func TestClearingStopsOnlyLowerPriority(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		epoch := slot(t, n, "s", 0)
+		w := workers.Add("m1", "box", "a")
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		n.commit(t, "m1", "s", epoch, 0, 1)
+		gang := agent.CommitRequest{Machine: "m1", Rev: n.entries()["m1"].Rev}
+		gang.Slot, gang.Epoch = "s", epoch
+		gang.Spec = job.Spec{ID: "wk-2", Shape: job.Gang, Rank: "normal", Tasks: 1, Need: job.Need{CPUs: 8, GPUs: 2, MemoryGB: 9}}
+		var reply agent.CommitReply
+		if err := n.service.Clear(gang, &reply); err != nil || reply.Verdicts[0] != agent.Refused {
+			t.Fatalf("equal priority: %+v %v", reply, err)
+		}
+		gang.Spec.Rank = "high"
+		if err := n.service.Clear(gang, &reply); err != nil || reply.Verdicts[0] != agent.Held {
+			t.Fatalf("higher priority: %+v %v", reply, err)
+		}
+		time.Sleep(time.Second)
+		n.report(workers, w)
+		if got := n.commit(t, "m1", "s", epoch, 1, 2); got != agent.Refused {
+			t.Fatalf("another job got the cleared machine: %q", got)
+		}
+		gang.Refs = []agent.TaskRef{{Job: "wk-2", Attempt: 9}}
+		if err := n.service.Stop(agent.StopRequest{Items: []agent.StopItem{{Machine: "m1", TaskRef: agent.TaskRef{Job: "wk-1", Attempt: 1}, Forget: true}}}, &struct{}{}); err != nil {
+			t.Fatal(err)
+		}
+		if err := n.service.Commit(gang, &reply); err != nil || reply.Verdicts[0] != agent.Started {
+			t.Fatalf("the gang: %+v %v", reply, err)
+		}
+	})
+}
--- /dev/null
+++ b/agent/clear.go
@@ -0,0 +1,113 @@
+package agent
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"time"
+
+	"robinstack/job"
+	"robinstack/statekv"
+	"robinstack/worker"
+)
+
+// claimTime is how long a cleared machine stays reserved for the job it was
+// cleared for, beyond the time its tasks need to save.
+const claimTime = 10 * time.Second
+
+// victims picks the tasks to stop so that the request's need fits on m: tasks
+// of arrays of lower priority, those first that lose least. ok is false where
+// that does not make room. The cost is in GPU-seconds of work lost.
+func (a *Agent) victims(m *machine, r *Request, now time.Time) (stop []*task, cost float64, ok bool) {
+	t, known := a.types()[m.typeName]
+	if !known || a.unfit(m, r, now) != "" {
+		return nil, 0, false
+	}
+	free, known := m.room(job.Capacity(t))
+	if !known {
+		return nil, 0, false
+	}
+	type option struct {
+		t    *task
+		cost float64
+	}
+	var options []option
+	for _, t := range m.tasks {
+		switch {
+		case !t.uses() || t.state == stateHeld || t.state == Starting:
+		case t.stop:
+			free = free.Add(t.spec.Need, 1)
+		case t.spec.Shape == job.Array && t.spec.Priority() < r.Spec.Priority():
+			options = append(options, option{t, t.loss(now)})
+		}
+	}
+	slices.SortFunc(options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.t.id, b.t.id))
+	})
+	for _, o := range options {
+		if r.Spec.Fits(free) {
+			break
+		}
+		stop = append(stop, o.t)
+		cost += o.cost
+		free = free.Add(o.t.spec.Need, 1)
+	}
+	return stop, cost, r.Spec.Fits(free)
+}
+
+// loss is what stopping the task costs, in GPU-seconds.
+func (t *task) loss(now time.Time) float64 {
+	lost := 0.0
+	switch {
+	case t.spec.Saves():
+		lost = t.spec.SaveS
+	case t.state == worker.Running:
+		lost = now.Sub(t.runningAt).Seconds()
+	}
+	return lost * max(t.spec.GPUs, 1)
+}
+
+// Clearable lists the machines on which stopping tasks of lower priority would
+// make room; the less that loses, the higher the score.
+func (s *Service) Clearable(r Request, reply *Sample) error {
+	a := s.agent
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, m := range a.machines {
+		if _, cost, ok := a.victims(m, &r, now); ok {
+			reply.Candidates = append(reply.Candidates, Candidate{Machine: m.name, Host: a.member.Host, Rev: m.rev, Zone: m.zone, Fits: 1, Score: -cost})
+		}
+	}
+	return nil
+}
+
+// Clear stops tasks of lower priority on a machine and keeps it for the job.
+func (s *Service) Clear(r CommitRequest, reply *CommitReply) error {
+	a := s.agent
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	reply.Verdicts = []string{Refused}
+	m := a.machines[r.Machine]
+	if m == nil || m.rev != r.Rev || !a.member.Certain() || !a.current(statekv.SlotPrefix+r.Slot, r.Epoch) {
+		return nil
+	}
+	stop, cost, ok := a.victims(m, &r.Request, now)
+	if !ok {
+		return nil
+	}
+	longest := time.Duration(0)
+	for _, t := range stop {
+		t.stop, t.grace = true, 0
+		if t.spec.Saves() {
+			t.grace = t.spec.Save() + time.Second
+		}
+		longest = max(longest, t.grace)
+	}
+	m.claimedBy, m.claimedUntil = r.Spec.ID, now.Add(longest+claimTime)
+	m.wake()
+	reply.Verdicts[0] = Held
+	slog.Info("machine is being cleared", "machine", m.name, "for", r.Spec.ID, "stopped", len(stop), "cost", cost)
+	return nil
+}
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -35,6 +35,7 @@
 	stopSent  time.Time
 	forget    bool
 	holdUntil time.Time
+	runningAt time.Time
 	result    chan string // verdict for the waiting commit, buffered
 }
 
@@ -79,6 +80,9 @@
 	kick      chan struct{}
 	quit      chan struct{}
 	retryAt   time.Time
+
+	claimedBy    string // job for which tasks of lower priority were stopped
+	claimedUntil time.Time
 }
 
 func (m *machine) token() uint64 { return m.rev<<tokenBits + m.counter }
@@ -195,6 +199,9 @@
 		}
 	case worker.Fetching:
 	default:
+		if t.runningAt.IsZero() && t.state == worker.Running {
+			t.runningAt = now
+		}
 		if t.spec != nil {
 			m.images[t.spec.Image] = now
 		}
--- a/agent/service.go
+++ b/agent/service.go
@@ -38,6 +38,8 @@
 		return "zone is not open to the job"
 	case slices.Contains(r.Avoid, m.name):
 		return "job failed here before"
+	case m.claimedBy != r.Spec.ID && now.Before(m.claimedUntil):
+		return "machine is being cleared for another job"
 	}
 	if _, failed := m.failures[r.Spec.ID]; failed {
 		return "job failed here before"
@@ -182,6 +184,7 @@
 			reply.Verdicts[i] = Held
 			continue
 		}
+		m.claimedUntil = time.Time{}
 		t.state = Starting
 		t.result = make(chan string, 1)
 		waits[i] = t.result
--- a/job/job.go
+++ b/job/job.go
@@ -100,6 +100,9 @@
 // Saves reports whether the job's tasks can save their progress.
 func (s *Spec) Saves() bool { return s.CheckpointS > 0 }
 
+// LowestPriority is the priority that stops nobody.
+const LowestPriority = 0
+
 // Priority orders the ranks; higher goes first.
 func (s *Spec) Priority() int { return ranks[s.Rank] }
 
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -63,6 +63,42 @@
 	return best
 }
 
+// chooseCleared picks the machines to clear so that, with the room found
+// already, a gang of n fits: in the zone where that loses least.
+func chooseCleared(oneZone bool, found, options []agent.Candidate, n int) []agent.Candidate {
+	zones := map[string]bool{"": true}
+	if oneZone {
+		clear(zones)
+		for _, c := range options {
+			zones[c.Zone] = true
+		}
+	}
+	var best []agent.Candidate
+	bestCost := 0.0
+	for z := range zones {
+		have := map[string]bool{}
+		left := n
+		for _, c := range found {
+			if z == "" || c.Zone == z {
+				left -= c.Fits
+				have[c.Machine] = true
+			}
+		}
+		var chosen []agent.Candidate
+		cost := 0.0
+		for _, c := range options {
+			if len(chosen) < left && (z == "" || c.Zone == z) && !have[c.Machine] {
+				chosen = append(chosen, c)
+				cost -= c.Score
+			}
+		}
+		if len(chosen) == left && left > 0 && (best == nil || cost < bestCost) {
+			best, bestCost = chosen, cost
+		}
+	}
+	return best
+}
+
 // inZone keeps the candidates of one zone.
 func inZone(candidates []agent.Candidate, zone string) []agent.Candidate {
 	return slices.DeleteFunc(slices.Clone(candidates), func(c agent.Candidate) bool { return c.Zone != zone })
--- a/placer/choose_test.go
+++ b/placer/choose_test.go
@@ -49,3 +49,19 @@
 		t.Fatalf("spread out: %v", out)
 	}
 }
+
+// A gang has machines cleared where that loses least, all in one zone if it
+// must be, and nothing is stopped when it would still not fit.
+func TestClearingChoosesTheCheapestZoneThatHoldsTheGang(t *testing.T) {
+	options := []agent.Candidate{{Machine: "m1", Zone: "a", Score: -5}, {Machine: "m2", Zone: "b", Score: -20}, {Machine: "m3", Zone: "b", Score: -30}}
+	found := []agent.Candidate{{Machine: "m4", Zone: "b", Fits: 1}}
+	if got := chooseCleared(true, found, options, 2); len(got) != 1 || got[0].Machine != "m2" {
+		t.Fatalf("one zone: %v", got)
+	}
+	if got := chooseCleared(false, found, options, 2); len(got) != 1 || got[0].Machine != "m1" {
+		t.Fatalf("any zone: %v", got)
+	}
+	if got := chooseCleared(true, nil, options, 3); got != nil {
+		t.Fatalf("does not fit anywhere: %v", got)
+	}
+}
--- a/placer/place.go
+++ b/placer/place.go
@@ -163,6 +163,9 @@
 	if spec.Spread {
 		lists = spreadOut(lists, others, (spec.Tasks+1)/2)
 	}
+	if spec.Shape == job.Gang && len(lists) < len(indices) && p.clearRoom(ctx, j, req, candidates, len(indices)) {
+		return false
+	}
 	if len(lists) == 0 || spec.Shape == job.Gang && len(lists) < len(indices) {
 		return true
 	}
@@ -197,6 +200,64 @@
 	return full
 }
 
+// clearPause is how long a gang waits for machines that are being cleared
+// before it has others cleared, beyond the time that tasks may need to save.
+const clearPause = 12 * time.Second
+
+// clearRoom has owners stop tasks of lower priority where a gang would then
+// fit. It returns whether room is being made, so that the gang tries again soon.
+func (p *Placer) clearRoom(ctx context.Context, j *jobState, req agent.Request, candidates []agent.Candidate, n int) bool {
+	if !p.policy.Preempt || j.spec.Priority() <= job.LowestPriority {
+		return false
+	}
+	soon := func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		j.nextTry = time.Now().Add(300 * time.Millisecond)
+	}
+	if time.Now().Before(j.clearUntil) {
+		soon()
+		return true
+	}
+	if !p.limitAllows(ctx, j, req.Epoch, n) {
+		return false
+	}
+	options := p.ask(ctx, "Agent.Clearable", req)
+	rank(options)
+	chosen := chooseCleared(j.spec.OneZone, candidates, options, n)
+	for _, c := range chosen {
+		var reply agent.CommitReply
+		cctx, cancel := context.WithTimeout(ctx, time.Second)
+		err := p.call.Call(cctx, c.Host, "Agent.Clear", agent.CommitRequest{Request: req, Machine: c.Machine, Rev: c.Rev}, &reply)
+		cancel()
+		if err != nil {
+			slog.Debug("clearing a machine", "machine", c.Machine, "err", err)
+		}
+	}
+	if len(chosen) == 0 {
+		return false
+	}
+	j.clearUntil = time.Now().Add(clearPause)
+	soon()
+	return true
+}
+
+// limitAllows asks whether the team's limit leaves room for the whole gang, so
+// that nothing is stopped in vain.
+func (p *Placer) limitAllows(ctx context.Context, j *jobState, epoch uint64, n int) bool {
+	if !p.settings.Limited(j.spec.Team) {
+		return true
+	}
+	req := steward.PermitRequest{Slot: j.slot, Epoch: epoch, Probe: true}
+	for range n {
+		req.Wants = append(req.Wants, steward.Want{Team: j.spec.Team, Need: j.spec.Need})
+	}
+	cctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	reply, err := p.permits(cctx, req)
+	return err == nil && !slices.Contains(reply.Granted, false)
+}
+
 // spreadOut keeps every task to zones that stay within the limit.
 func spreadOut(lists [][]agent.Candidate, others map[string]int, limit int) [][]agent.Candidate {
 	var out [][]agent.Candidate
@@ -213,6 +274,10 @@
 
 // sample asks a random share of the controllers for eligible machines.
 func (p *Placer) sample(ctx context.Context, req agent.Request) []agent.Candidate {
+	return p.ask(ctx, "Agent.Sample", req)
+}
+
+func (p *Placer) ask(ctx context.Context, method string, req agent.Request) []agent.Candidate {
 	hosts := pickHosts(p.member.AliveHosts(), p.policy.SampleControllers, shuffle)
 	var mu sync.Mutex
 	var all []agent.Candidate
@@ -222,7 +287,7 @@
 	for _, h := range hosts {
 		asks.Go(func() {
 			var reply agent.Sample
-			if err := p.call.Call(cctx, h, "Agent.Sample", req, &reply); err != nil {
+			if err := p.call.Call(cctx, h, method, req, &reply); err != nil {
 				slog.Debug("sampling", "host", h, "err", err)
 				return
 			}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -68,6 +68,8 @@
 	attempts  uint64
 	avoid     []string
 	errors    int
+
+	clearUntil time.Time // machines are being cleared for it; its placement's own
 }
 
 func (j *jobState) waiting() int {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,11 +15,12 @@
 	MultiBind         int           // candidates tried in the commit phase (m)
 	RetryAfter        time.Duration // pause before a job without a place samples again
 	IdleReturn        time.Duration // idle time after which a machine is returned
+	Preempt           bool          // stop tasks of lower priority to make room for gangs
 }
 
 // Default returns the policy that holds where operators set nothing.
 func Default() *Policy {
-	return &Policy{SampleControllers: 1, SampleMachines: 1, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 60 * time.Second}
+	return &Policy{SampleControllers: 1, SampleMachines: 1, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 60 * time.Second, Preempt: true}
 }
 
 // Order puts jobs in the queue's order: rank first, then by deadline or age.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -246,8 +246,11 @@
 			continue
 		}
 		use[w.Team] = total
-		s.permits[w.Ref] = permit{account: account{team: w.Team, need: w.Need}, slot: r.Slot, epoch: r.Epoch}
 		reply.Granted[i] = true
+		if r.Probe {
+			continue
+		}
+		s.permits[w.Ref] = permit{account: account{team: w.Team, need: w.Need}, slot: r.Slot, epoch: r.Epoch}
 	}
 	return nil
 }
--- a/steward/wire.go
+++ b/steward/wire.go
@@ -18,6 +18,7 @@
 	Epoch   uint64
 	Wants   []Want
 	Release []agent.TaskRef
+	Probe   bool // only say what would be granted
 	Settled bool // the slot has settled: earlier epochs' unused permits are void
 }
 
