--- a/placer/place.go
+++ b/placer/place.go
@@ -65,7 +65,7 @@
 		if w == 0 || j.spec.Shape == job.Gang && w < len(j.tasks) {
 			continue
 		}
-		queue = append(queue, item{j, p.policy.Order(j.spec, now.Sub(j.submitted), w)})
+		queue = append(queue, item{j, p.policy.Order(j.spec, now.Sub(j.submitted))})
 	}
 	slices.SortFunc(queue, func(a, b item) int {
 		return cmp.Or(cmp.Compare(b.order, a.order), cmp.Compare(a.j.spec.ID, b.j.spec.ID))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,7 +23,17 @@
 	return &Policy{SampleControllers: 1, SampleMachines: 1, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 60 * time.Second, Preempt: true}
 }
 
-// Order puts jobs in the queue's order: rank first, then by deadline or age.
-func (p *Policy) Order(spec *job.Spec, age time.Duration, waiting int) float64 {
-	return float64(spec.Priority())*1e6 + age.Seconds()
+// Order puts jobs in the queue's order: rank first, then by the deadline, with
+// those behind that can no longer meet it, the rest by age.
+func (p *Policy) Order(spec *job.Spec, age time.Duration) float64 {
+	const ranks, classes = 1e9, 1e6
+	order := float64(spec.Priority()) * ranks
+	if spec.DeadlineS == nil {
+		return order + classes + age.Seconds()
+	}
+	left := *spec.DeadlineS - age.Seconds()
+	if left >= spec.EstimateS {
+		return order + classes - left
+	}
+	return order - left
 }
