A new steward counts unchecked machines as full and sees lost ones by the list

Now such a machine counts as full for every team, and one that is silent and unlisted for twice the lag is lost.

--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -256,7 +256,10 @@
 		return "failed"
 	case e.Notice:
 		return "taken on notice"
-	case !ok && !f.listed[e.Machine].IsZero() && now.Sub(f.lastAt) < 10*time.Second:
+	case !ok && now.Sub(f.lastAt) < 10*time.Second && (!f.listed[e.Machine].IsZero() || now.Sub(f.silent[e.Machine]) > 2*s.settings.CloudListLag+2*time.Second):
+		// It has an owner, so it was up before it fell silent; by now even the
+		// oldest list that may come would show it. A new steward, which has
+		// seen no earlier list, can tell only from this.
 		return "no longer listed"
 	case now.Sub(f.silent[e.Machine]) > s.settings.GoneAfter():
 		return "silent for longer than its lease"
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -192,20 +192,31 @@
 	}
 }
 
-// usage sums what each team holds or is permitted to start; known is false
-// while there is a task whose team is not known.
-func (s *Steward) usage() (use map[string]job.Need, known bool) {
-	use, known = map[string]job.Need{}, true
-	for _, tasks := range s.held {
+// usage sums what each team holds or is permitted to start. What may be on
+// machines without anyone knowing comes extra, in blank: of a machine that has
+// not shown all that earlier stewards permitted, or has a task of an unknown
+// team, that is as much as it can hold, and it may be any team's.
+func (s *Steward) usage() (use map[string]job.Need, blank job.Need) {
+	use = map[string]job.Need{}
+	types := s.catalogue.Types()
+	dark := map[string]bool{}
+	for name, tasks := range s.held {
 		for _, a := range tasks {
-			known = known && a.team != ""
+			dark[name] = dark[name] || a.team == ""
 			use[a.team] = use[a.team].Add(a.need, 1)
 		}
 	}
 	for _, p := range s.permits {
 		use[p.team] = use[p.team].Add(p.need, 1)
 	}
-	return use, known
+	for _, kv := range s.mirror.Prefix(statekv.MachinePrefix) {
+		name := strings.TrimPrefix(kv.Key, statekv.MachinePrefix)
+		var key agent.MachineKey
+		if (dark[name] || !s.settled && !s.cleared[name]) && json.Unmarshal(kv.Value, &key) == nil {
+			blank = blank.Add(job.Capacity(types[key.Type]), 1)
+		}
+	}
+	return use, blank
 }
 
 // Service is what placers call.
@@ -235,14 +246,15 @@
 	}
 	reply.Epoch = s.epoch
 	reply.Granted = make([]bool, len(r.Wants))
-	use, known := s.usage()
-	if !s.settled || !known {
+	use, blank := s.usage()
+	if len(s.catalogue.Types()) == 0 {
 		return nil
 	}
 	for i, w := range r.Wants {
 		team := s.settings.Teams[w.Team]
 		total := use[w.Team].Add(w.Need, 1)
-		if team.CPUsMax > 0 && total.CPUs > team.CPUsMax || team.GPUsMax > 0 && total.GPUs > team.GPUsMax {
+		most := total.Add(blank, 1)
+		if team.CPUsMax > 0 && most.CPUs > team.CPUsMax || team.GPUsMax > 0 && most.GPUs > team.GPUsMax {
 			continue
 		}
 		use[w.Team] = total
--- /dev/null
+++ b/steward/steward_test.go
@@ -0,0 +1,134 @@
+package steward
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/cloud"
+	"robinstack/config"
+	"robinstack/fakes"
+	"robinstack/job"
+	"robinstack/policy"
+	"robinstack/statekv"
+	"robinstack/worker"
+)
+
+func settings() *config.Settings {
+	return &config.Settings{Host: "host-0", CloudListLag: 4 * time.Second,
+		Teams:   map[string]config.Team{"t": {Name: "t", GPUsMax: 10}},
+		Workers: config.Workers{Report: 3 * time.Second, Lease: 30 * time.Second, CancelGone: 60 * time.Second},
+		State:   config.State{RPS: 100, WriteRPS: 50, ValueBytes: 8192, TxnOps: 24}}
+}
+
+func newSteward(t *testing.T, ctx context.Context) (*Steward, *fakes.State) {
+	t.Helper()
+	state := fakes.NewState()
+	machine := agent.MachineKey{Holder: statekv.Holder{Host: "host-9", Instance: 1}, Type: "box", Zone: "a"}
+	if _, err := state.Txn(ctx, nil, []statekv.Op{{Set: statekv.MachinePrefix + "m1", Value: machine}}); err != nil {
+		t.Fatal(err)
+	}
+	mirror := statekv.NewMirror(state, statekv.FleetPrefix, statekv.RootPrefix, func([]statekv.Event) {})
+	if err := mirror.Load(ctx); err != nil {
+		t.Fatal(err)
+	}
+	member, err := statekv.Join(ctx, state, mirror, "host-0", 4*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	types := &cloud.Catalogue{}
+	types.Set([]cloud.MachineType{{Name: "box", CPUs: 64, GPUs: 8, MemoryGB: 512, Price: 10, SpotPrice: 4, BootS: 30, Zones: []string{"a"}}})
+	s := New(settings(), policy.Default(), mirror, member, nil, nil, types)
+	s.feed = agent.NewFeed(nil, mirror, nil, nil, nil)
+	s.epoch, s.cleared = 99, map[string]bool{}
+	return s, state
+}
+
+func ask(t *testing.T, s *Steward, index, gpus int, release ...agent.TaskRef) bool {
+	t.Helper()
+	var reply PermitReply
+	want := Want{Ref: agent.TaskRef{Job: "wk-1", Index: index, Attempt: 1}, Team: "t", Need: job.Need{GPUs: float64(gpus)}}
+	if err := NewService(s).Permit(PermitRequest{Slot: "s", Epoch: 1, Wants: []Want{want}, Release: release}, &reply); err != nil {
+		t.Fatal(err)
+	}
+	return reply.Granted[0]
+}
+
+// Guards against quota: what is permitted, what runs and what may run on
+// machines that have not been checked counts together against the limit, and a
+// new steward goes on permitting beside a machine that stays silent.
+func TestLimitCountsWhatMayRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newSteward(t, t.Context())
+		if ask(t, s, 0, 3) {
+			t.Fatal("an unchecked machine may hold 8 of the 10")
+		}
+		if !ask(t, s, 0, 2) || ask(t, s, 1, 1) {
+			t.Fatal("2 fit beside it and no more")
+		}
+		s.cleared["m1"] = true
+		if !ask(t, s, 1, 8) || ask(t, s, 2, 1) {
+			t.Fatal("permits count until they show up or are given back")
+		}
+		if !ask(t, s, 2, 1, agent.TaskRef{Job: "wk-1", Index: 0, Attempt: 1}) {
+			t.Fatal("given back, not used")
+		}
+	})
+}
+
+// A task keeps counting while a new owner has not confirmed its machine.
+func TestUnsettledMachineKeepsCounting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newSteward(t, t.Context())
+		s.settled = true
+		task := agent.TaskEntry{TaskRef: agent.TaskRef{Job: "wk-2", Attempt: 1}, Team: "t", Need: job.Need{GPUs: 8}, Known: true, State: worker.Running}
+		s.OnEntries([]agent.Entry{{Machine: "m1", Settled: true, Tasks: []agent.TaskEntry{task}}})
+		s.OnEntries([]agent.Entry{{Machine: "m1", Settled: false}})
+		if ask(t, s, 0, 3) {
+			t.Fatal("the task may still run")
+		}
+		s.OnEntries([]agent.Entry{{Machine: "m1", Settled: true}})
+		if !ask(t, s, 0, 3) {
+			t.Fatal("the task is proven gone")
+		}
+	})
+}
+
+// A new steward has seen no list before; a silent machine that no list shows
+// for longer than lists may lag is lost. Waiting out its lease stalled the
+// slots of a crashed controller for fifty seconds.
+func TestNewStewardSeesThatASilentMachineIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newSteward(t, t.Context())
+		e := agent.Entry{Machine: "m1", Silent: true}
+		s.onList(nil, time.Now())
+		if why := s.isLost(&e, time.Now()); why != "" {
+			t.Fatalf("at once: %s", why)
+		}
+		time.Sleep(11 * time.Second)
+		s.onList(nil, time.Now())
+		if s.isLost(&e, time.Now()) == "" {
+			t.Fatal("still waited for")
+		}
+	})
+}
+
+func TestPackingRentsWhatIsCheapestPerTask(t *testing.T) {
+	types := map[string]cloud.MachineType{
+		"small": {Name: "small", CPUs: 24, GPUs: 4, MemoryGB: 96, Price: 13, SpotPrice: 5, Zones: []string{"a"}},
+		"big":   {Name: "big", CPUs: 64, GPUs: 8, MemoryGB: 512, Price: 25, SpotPrice: 10, Zones: []string{"a"}},
+	}
+	d := []Demand{{Spec: job.Spec{Need: job.Need{CPUs: 6, GPUs: 1, MemoryGB: 48}, Spot: true, Rank: "normal"}, Waiting: 10}}
+	bins := []*bin{{name: "m1", typeName: "small", zone: "a", free: job.Need{CPUs: 24, GPUs: 4, MemoryGB: 96}}}
+	rent := packing(d, bins, offers(types, func(pool) bool { return false }), 20)
+	if len(rent) != 1 || rent[pool{"big", "a", true}] != 1 || !bins[0].used {
+		t.Fatalf("two on the machine there, eight on one big spot machine: %v", rent)
+	}
+	d[0].Spec.Spot = false
+	rent = packing(d, nil, offers(types, func(pool) bool { return false }), 20)
+	if rent[pool{"big", "a", false}] != 2 {
+		t.Fatalf("no spot machine for a job that forbids it: %v", rent)
+	}
+}
