--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,7 +20,7 @@
 
 // Default returns the policy that holds where operators set nothing.
 func Default() *Policy {
-	return &Policy{SampleControllers: 1, SampleMachines: 1, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 25 * time.Second, Preempt: true}
+	return &Policy{SampleControllers: 1, SampleMachines: 1, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 60 * time.Second, Preempt: true}
 }
 
 // Order puts jobs in the queue's order: rank first, then by the deadline, with
