--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,6 +36,9 @@
 	workers  worker.Commander
 	types    func() map[string]cloud.MachineType
 
+	// Images tells what an earlier owner knew of a machine's images.
+	Images func(machine string) []string
+
 	claims chan claim
 	learns chan struct{}
 
@@ -341,6 +344,11 @@
 		m := &machine{name: c.name, address: c.key.Address, typeName: c.key.Type, zone: c.key.Zone, spot: c.key.Spot, rev: rev,
 			tasks: map[taskKey]*task{}, images: map[string]time.Time{}, failures: map[string]time.Time{},
 			heard: now, answerEnd: now, kick: make(chan struct{}, 1), quit: make(chan struct{})}
+		if a.Images != nil {
+			for _, image := range a.Images(c.name) {
+				m.images[image] = now
+			}
+		}
 		if c.seen != 0 {
 			// The earlier owner may go on answering for its hold time.
 			m.answerEnd = now.Add(a.settings.HoldTime())
--- a/agent/clear.go
+++ b/agent/clear.go
@@ -17,7 +17,8 @@
 
 // victims picks the tasks to stop so that the request's need fits on m: tasks
 // of arrays of lower priority, those first that lose least. ok is false where
-// that does not make room. The cost is in GPU-seconds of work lost.
+// that does not make room. The cost is in GPU-seconds:
+// of work lost, and of fetching the image where the machine does not have it.
 func (a *Agent) victims(m *machine, r *Request, now time.Time) (stop []*task, cost float64, ok bool) {
 	t, known := a.types()[m.typeName]
 	if !known || a.unfit(m, r, now) != "" {
@@ -52,6 +53,9 @@
 		cost += o.cost
 		free = free.Add(o.t.spec.Need, 1)
 	}
+	if _, has := m.images[r.Spec.Image]; !has && t.FetchGBPerS > 0 {
+		cost += r.Spec.ImageGB / t.FetchGBPerS * max(r.Spec.GPUs, 1)
+	}
 	return stop, cost, r.Spec.Fits(free)
 }
 
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -116,6 +116,14 @@
 	return e.Host, ok && !e.Gone
 }
 
+// Images returns the images that a machine's latest entry has, so that what is
+// known of a machine survives its owner.
+func (f *Feed) Images(machine string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries[machine].Images
+}
+
 // SettledSince reports whether everything that may run on a machine, according
 // to its key, is in the latest entry, and its owner refuses commits that were
 // sent under epochs before the given one.
--- a/agent/service.go
+++ b/agent/service.go
@@ -346,6 +346,9 @@
 	if !m.idleSince.IsZero() {
 		e.Idle = max(time.Millisecond, now.Sub(m.idleSince))
 	}
+	for image := range m.images {
+		e.Images = append(e.Images, image)
+	}
 	for _, t := range m.tasks {
 		if t.state == stateHeld {
 			continue
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -126,6 +126,7 @@
 	Notice   bool
 	Idle     time.Duration // time without tasks, when the entry was made
 	Received time.Time     // when the feed got it, by the receiver's clock
+	Images   []string      // known to be on the machine
 	Tasks    []TaskEntry
 }
 
