--- a/agent/service.go
+++ b/agent/service.go
@@ -120,7 +120,7 @@
 		total += 100
 	}
 	if spot {
-		total += 20
+		total += 120
 	}
 	return total
 }
