--- a/agent/service.go
+++ b/agent/service.go
@@ -93,7 +93,7 @@
 		_, has := m.images[r.Spec.Image]
 		reply.Candidates = append(reply.Candidates, Candidate{
 			Machine: m.name, Host: a.member.Host, Rev: m.rev, Zone: m.zone, Fits: n, HasImage: has,
-			Score: score(job.Capacity(types[m.typeName]), free, r.Spec.Need, has, m.spot),
+			Score: score(job.Capacity(types[m.typeName]), free, r.Spec.Need, has, m.spot, r.KeepOrdinary),
 		})
 	}
 	reply.Exhausted = len(reply.Candidates) < wanted
@@ -106,8 +106,9 @@
 }
 
 // score sums the Score plugins, each from 0 to 100: the machine left fullest,
-// the image already there, and a spot machine where it is allowed.
-func score(capacity, free, need job.Need, hasImage, spot bool) float64 {
+// the image already there, and a spot machine where it is allowed: above all if
+// other jobs need the ordinary ones.
+func score(capacity, free, need job.Need, hasImage, spot, keepOrdinary bool) float64 {
 	left := free.Add(need, -1)
 	full := 0.0
 	for _, p := range [][2]float64{{left.CPUs, capacity.CPUs}, {left.GPUs, capacity.GPUs}, {left.MemoryGB, capacity.MemoryGB}} {
@@ -120,7 +121,10 @@
 		total += 100
 	}
 	if spot {
-		total += 120
+		total += 20
+		if keepOrdinary {
+			total += 100
+		}
 	}
 	return total
 }
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -8,14 +8,15 @@
 
 // Request describes what a placer looks for.
 type Request struct {
-	Spec    job.Spec
-	Slot    string
-	Epoch   uint64   // revision of the slot's key: later placers outrank earlier ones
-	Zones   []string // zones that are allowed right now; nil: any
-	Avoid   []string // machines on which the job failed
-	Tasks   int      // tasks that look for a place
-	Share   float64  // share of the owned machines to sample (the paper's N_p)
-	Elapsed time.Duration
+	Spec  job.Spec
+	Slot  string
+	Epoch uint64   // revision of the slot's key: later placers outrank earlier ones
+	Zones []string // zones that are allowed right now; nil: any
+	Avoid []string // machines on which the job failed
+	Tasks int      // tasks that look for a place
+	Share float64  // share of the owned machines to sample (the paper's N_p)
+
+	KeepOrdinary bool // other jobs may not use spot machines: leave them the ordinary ones
 }
 
 // Candidate is a machine that passed the filters, with its score.
--- a/placer/place.go
+++ b/placer/place.go
@@ -18,6 +18,10 @@
 // batchTasks bounds how many tasks of a job one placement looks for.
 const batchTasks = 64
 
+// noSpotMemory is how long a job that may not use spot machines counts as a
+// sign that others like it will come.
+const noSpotMemory = 5 * time.Minute
+
 // maxPlacements bounds the placements at work at the same time.
 const maxPlacements = 8
 
@@ -146,7 +150,7 @@
 		}
 	}
 	req := agent.Request{Spec: *spec, Slot: j.slot, Epoch: s.epoch, Avoid: slices.Clone(j.avoid), Tasks: len(indices),
-		Share: p.policy.SampleMachines, Zones: openZones(spec, others, p.settings.Zones)}
+		KeepOrdinary: time.Since(p.noSpotAt) < noSpotMemory, Share: p.policy.SampleMachines, Zones: openZones(spec, others, p.settings.Zones)}
 	p.mu.Unlock()
 
 	candidates := p.sample(ctx, req)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -110,6 +110,7 @@
 	fullAt   map[shapeKey]time.Time
 	gone     map[string]deleted // records deleted lately, which a slower read may still show
 	workers  int
+	noSpotAt time.Time // when a job that may not use spot machines was last seen
 	counters Counters
 	kick     chan struct{}
 }
@@ -402,19 +403,21 @@
 		}
 		return
 	}
-	p.mu.Lock()
-	_, known := p.jobs[id]
-	p.mu.Unlock()
-	if known {
-		return
-	}
 	rec, err := job.ParseRecord(e.Value)
 	if err != nil {
+		slog.Error("job record", "key", e.Key(), "err", err)
 		return
 	}
 	p.mu.Lock()
+	_, known := p.jobs[id]
 	s := p.slots[rec.Slot]
+	if !rec.Spec.Spot {
+		p.noSpotAt = time.Now()
+	}
 	p.mu.Unlock()
+	if known {
+		return
+	}
 	if s != nil && e.Rev > s.epoch && rec.Done == "" {
 		p.Accepted(rec, e.Rev)
 	}
