--- a/cmd/robinstack/main.go
+++ b/cmd/robinstack/main.go
@@ -41,11 +41,11 @@
 }
 
 func command() *cobra.Command {
-	var settingsPath string
+	var settingsPath, policyPath string
 	root := &cobra.Command{
 		Use:           "robinstack --config FILE",
 		Short:         "Schedules jobs on rented machines",
-		Long:          "robinstack runs one controller of the service, until it is ended. Settings come from the platform's file.",
+		Long:          "robinstack runs one controller of the service, until it is ended. Settings come from the platform's file, and what operators set beyond it from a policy file.",
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
@@ -57,14 +57,19 @@
 			if err != nil {
 				return fmt.Errorf("%w: %w", errUsage, err)
 			}
+			pol, err := loadPolicy(policyPath)
+			if err != nil {
+				return err
+			}
 			startLog()
 			if settings.MemoryBytes > 0 {
 				debug.SetMemoryLimit(settings.MemoryBytes * 7 / 10)
 			}
-			return controller.New(settings, policy.Default()).Run(cmd.Context())
+			return controller.New(settings, pol).Run(cmd.Context())
 		},
 	}
 	root.Flags().StringVar(&settingsPath, "config", "", "the platform's settings file (JSON)")
+	root.Flags().StringVar(&policyPath, "policy", "", "the operators' policy file")
 	root.AddCommand(checkCommand(), statusCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), version) },
@@ -72,18 +77,35 @@
 	return root
 }
 
+func loadPolicy(path string) (*policy.Policy, error) {
+	if path == "" {
+		return policy.Default(), nil
+	}
+	p, err := policy.Load(path)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return p, nil
+}
+
 func checkCommand() *cobra.Command {
-	return &cobra.Command{
-		Use: "check FILE", Short: "Check a settings file", Args: cobra.ExactArgs(1),
+	var policyPath string
+	check := &cobra.Command{
+		Use: "check FILE", Short: "Check a settings file and a policy file", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			s, err := config.Load(args[0])
 			if err != nil {
 				return fmt.Errorf("%w: %w", errUsage, err)
 			}
+			if _, err := loadPolicy(policyPath); err != nil {
+				return err
+			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s is valid: %s, %d peers, %d teams\n", args[0], s.Host, len(s.Peers), len(s.Teams))
 			return nil
 		},
 	}
+	check.Flags().StringVar(&policyPath, "policy", "", "the operators' policy file")
+	return check
 }
 
 func statusCommand() *cobra.Command {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,20 @@
-// Package policy holds what operators may set beyond the platform's file.
+// Package policy holds what operators may set beyond the platform's file: a
+// file of lines "name = expression", checked before the service starts.
 package policy
 
 import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
 	"time"
 
+	"github.com/expr-lang/expr"
+	"github.com/expr-lang/expr/file"
+	"github.com/expr-lang/expr/vm"
+
 	"robinstack/job"
 )
 
@@ -16,6 +27,8 @@
 	RetryAfter        time.Duration // pause before a job without a place samples again
 	IdleReturn        time.Duration // idle time after which a machine is returned
 	Preempt           bool          // stop tasks of lower priority to make room for gangs
+
+	order *vm.Program // queue_order, nil for the built-in order
 }
 
 // Default returns the policy that holds where operators set nothing.
@@ -23,9 +36,142 @@
 	return &Policy{SampleControllers: 1, SampleMachines: 1, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 60 * time.Second, Preempt: true}
 }
 
-// Order puts jobs in the queue's order: rank first, then by the deadline, with
-// those behind that can no longer meet it, the rest by age.
+// jobEnv is what queue_order can refer to.
+type jobEnv struct {
+	Rank      int     `expr:"rank"` // 3 production, 2 high, 1 normal, 0 best effort
+	Class     string  `expr:"class"`
+	Team      string  `expr:"team"`
+	Tasks     int     `expr:"tasks"`
+	GPUs      float64 `expr:"gpus"`
+	CPUs      float64 `expr:"cpus"`
+	AgeS      float64 `expr:"age_s"`
+	EstimateS float64 `expr:"estimate_s"`
+	HasDue    bool    `expr:"has_deadline"`
+	LeftS     float64 `expr:"left_s"` // until the deadline
+}
+
+// number declares a setting that is a number within bounds.
+type number struct {
+	least, most float64
+	set         func(*Policy, float64)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+var numbers = map[string]number{
+	"sample_controllers": {0.01, 1, func(p *Policy, v float64) { p.SampleControllers = v }},
+	"sample_machines":    {0.01, 1, func(p *Policy, v float64) { p.SampleMachines = v }},
+	"sample_timeout_s":   {0.05, 10, func(p *Policy, v float64) { p.SampleTimeout = seconds(v) }},
+	"multibind":          {1, 20, func(p *Policy, v float64) { p.MultiBind = int(v) }},
+	"retry_s":            {0.1, 60, func(p *Policy, v float64) { p.RetryAfter = seconds(v) }},
+	"idle_return_s":      {1, 86400, func(p *Policy, v float64) { p.IdleReturn = seconds(v) }},
+}
+
+// Load reads a policy file; an error names the file, line and column.
+func Load(path string) (*Policy, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading policy: %w", err)
+	}
+	return Parse(path, raw)
+}
+
+// Parse checks a policy and compiles its expressions.
+func Parse(path string, raw []byte) (*Policy, error) {
+	p := Default()
+	var errs []error
+	seen := map[string]bool{}
+	lines := bufio.NewScanner(bytes.NewReader(raw))
+	for n := 1; lines.Scan(); n++ {
+		text, _, _ := strings.Cut(lines.Text(), "#")
+		if strings.TrimSpace(text) == "" {
+			continue
+		}
+		name, source, ok := strings.Cut(text, "=")
+		column := len(name) + 2
+		name = strings.TrimSpace(name)
+		at := func(col int, err error) {
+			errs = append(errs, fmt.Errorf("%s:%d:%d: %s: %w", path, n, col, name, err))
+		}
+		if !ok {
+			at(1, errors.New(`expected "name = expression"`))
+			continue
+		}
+		if seen[name] {
+			at(1, errors.New("is set twice"))
+			continue
+		}
+		seen[name] = true
+		if err := p.set(name, source); err != nil {
+			var fe *file.Error
+			if errors.As(err, &fe) {
+				at(column+fe.Column, errors.New(fe.Message))
+			} else {
+				at(column, err)
+			}
+		}
+	}
+	if err := errors.Join(append(errs, lines.Err())...); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Policy) set(name, source string) error {
+	switch num, ok := numbers[name]; {
+	case ok:
+		v, err := constant(source, expr.AsFloat64())
+		if err != nil {
+			return err
+		}
+		if f := v.(float64); f < num.least || f > num.most {
+			return fmt.Errorf("%v is not within %v to %v", f, num.least, num.most)
+		}
+		num.set(p, v.(float64))
+	case name == "preempt":
+		v, err := constant(source, expr.AsBool())
+		if err != nil {
+			return err
+		}
+		p.Preempt = v.(bool)
+	case name == "queue_order":
+		program, err := expr.Compile(source, expr.Env(jobEnv{}), expr.AsFloat64())
+		if err != nil {
+			return err
+		}
+		if _, err := expr.Run(program, jobEnv{}); err != nil {
+			return err
+		}
+		p.order = program
+	default:
+		return errors.New("is no setting")
+	}
+	return nil
+}
+
+func constant(source string, kind expr.Option) (any, error) {
+	program, err := expr.Compile(source, expr.Env(struct{}{}), kind)
+	if err != nil {
+		return nil, err
+	}
+	return expr.Run(program, struct{}{})
+}
+
+// Order puts jobs in the queue's order, higher first. The built-in order is
+// rank, then the deadline, with those behind that can no longer meet it, the
+// rest by age.
 func (p *Policy) Order(spec *job.Spec, age time.Duration) float64 {
+	if p.order != nil {
+		env := jobEnv{Rank: spec.Priority(), Class: spec.Class, Team: spec.Team, Tasks: spec.Tasks, GPUs: spec.GPUs, CPUs: spec.CPUs,
+			AgeS: age.Seconds(), EstimateS: spec.EstimateS, HasDue: spec.DeadlineS != nil}
+		if env.HasDue {
+			env.LeftS = *spec.DeadlineS - env.AgeS
+		}
+		if v, err := expr.Run(p.order, env); err == nil {
+			return v.(float64)
+		}
+		return age.Seconds()
+	}
 	const ranks, classes = 1e9, 1e6
 	order := float64(spec.Priority()) * ranks
 	if spec.DeadlineS == nil {
