--- a/steward/plan.go
+++ b/steward/plan.go
@@ -32,18 +32,18 @@
 	pool
 	capacity job.Need
 	price    float64
-	shut     bool // refused lately
+	boot     time.Duration
 }
 
-// offers lists what may be rented.
+// offers lists what may be rented, leaving out pools that refused lately.
 func offers(types map[string]cloud.MachineType, shut func(pool) bool) []offer {
 	var out []offer
 	for _, t := range types {
 		for _, z := range t.Zones {
 			for _, spot := range []bool{false, true} {
 				p := pool{t.Name, z, spot}
-				if t.HourlyPrice(spot) > 0 {
-					out = append(out, offer{pool: p, capacity: job.Capacity(t), price: t.HourlyPrice(spot), shut: shut(p)})
+				if t.HourlyPrice(spot) > 0 && !shut(p) {
+					out = append(out, offer{pool: p, capacity: job.Capacity(t), price: t.HourlyPrice(spot), boot: t.Boot()})
 				}
 			}
 		}
@@ -83,7 +83,7 @@
 			}
 		}
 		for left > 0 && total < most {
-			o, n := cheapest(&d, onOffer)
+			o, n := cheapest(&d.Spec, left, onOffer)
 			if n == 0 {
 				break
 			}
@@ -108,35 +108,17 @@
 	return max(1, int(left/(1.3*d.Spec.EstimateS+10)))
 }
 
-// dear is how many times the cheapest price per task an offer may cost before
-// only jobs that cannot wait take it.
-const dear = 3
-
-// cheapest picks the open offer with the lowest price per task. A job that has
-// time left rather waits for a place than take one that is dear.
-func cheapest(d *Demand, onOffer []offer) (best offer, fits int) {
-	bestCost, least := 0.0, 0.0
+// cheapest picks the offer with the lowest price per task that it would hold.
+func cheapest(spec *job.Spec, left int, onOffer []offer) (best offer, fits int) {
+	bestCost := 0.0
 	for _, o := range onOffer {
-		n := d.Spec.Count(o.capacity)
-		if n == 0 || !d.Spec.Allows(o.typeName, o.zone, o.spot) {
+		n := spec.Count(o.capacity)
+		if n == 0 || !spec.Allows(o.typeName, o.zone, o.spot) {
 			continue
 		}
-		cost := o.price / float64(n)
-		if least == 0 || cost < least {
-			least = cost
-		}
-		if !o.shut && (fits == 0 || cost < bestCost) {
+		if cost := o.price / float64(n); fits == 0 || cost < bestCost {
 			best, fits, bestCost = o, n, cost
 		}
 	}
-	if bestCost > dear*least && d.canWait() {
-		return offer{}, 0
-	}
 	return best, fits
 }
-
-// canWait reports whether the job would meet its deadline after waiting for as
-// long again as it runs.
-func (d *Demand) canWait() bool {
-	return d.Spec.DeadlineS != nil && *d.Spec.DeadlineS-d.AgeS > 2.5*d.Spec.EstimateS
-}
