--- a/agent/service.go
+++ b/agent/service.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"robinstack/cloud"
 	"robinstack/job"
 	"robinstack/statekv"
 	"robinstack/worker"
@@ -93,7 +94,7 @@
 		_, has := m.images[r.Spec.Image]
 		reply.Candidates = append(reply.Candidates, Candidate{
 			Machine: m.name, Host: a.member.Host, Rev: m.rev, Zone: m.zone, Fits: n, HasImage: has,
-			Score: score(job.Capacity(types[m.typeName]), free, r.Spec.Need, has, m.spot, r.KeepOrdinary),
+			Score: score(job.Capacity(types[m.typeName]), free, r.Spec.Need, has, cheapness(types, &r.Spec, m.typeName, m.spot)),
 		})
 	}
 	reply.Exhausted = len(reply.Candidates) < wanted
@@ -105,10 +106,11 @@
 	return nil
 }
 
-// score sums the Score plugins, each from 0 to 100: the machine left fullest,
-// the image already there, and a spot machine where it is allowed: above all if
-// other jobs need the ordinary ones.
-func score(capacity, free, need job.Need, hasImage, spot, keepOrdinary bool) float64 {
+// score sums the Score plugins: the machine left fullest (0 to 100), the image
+// already there (100), and how cheap the place is (0 to 150). The last leaves
+// dear machines idle, so that they are returned, and ordinary ones to jobs that
+// may not use spot machines.
+func score(capacity, free, need job.Need, hasImage bool, cheap float64) float64 {
 	left := free.Add(need, -1)
 	full := 0.0
 	for _, p := range [][2]float64{{left.CPUs, capacity.CPUs}, {left.GPUs, capacity.GPUs}, {left.MemoryGB, capacity.MemoryGB}} {
@@ -116,17 +118,33 @@
 			full = max(full, 1-p[0]/p[1])
 		}
 	}
-	total := 100 * full
+	total := 100*full + 150*cheap
 	if hasImage {
 		total += 100
 	}
-	if spot {
-		total += 20
-		if keepOrdinary {
-			total += 100
+	return total
+}
+
+// cheapness compares what a place for need costs on a machine with the least
+// that it costs on any the job may use: 1 for the cheapest, towards 0 for dear.
+func cheapness(types map[string]cloud.MachineType, spec *job.Spec, typeName string, spot bool) float64 {
+	cost := func(t cloud.MachineType, spot bool) float64 {
+		n := spec.Need.Count(job.Capacity(t))
+		if n == 0 || t.HourlyPrice(spot) <= 0 {
+			return math.Inf(1)
 		}
+		return t.HourlyPrice(spot) / float64(n)
 	}
-	return total
+	least := math.Inf(1)
+	for _, t := range types {
+		if spec.AllowsType(t.Name) {
+			least = min(least, cost(t, spec.Spot))
+		}
+	}
+	if own := cost(types[typeName], spot); !math.IsInf(own, 1) && !math.IsInf(least, 1) {
+		return min(1, least/own)
+	}
+	return 0
 }
 
 // Commit reserves room for tasks on a machine, checks the latest report and
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -15,8 +15,6 @@
 	Avoid []string // machines on which the job failed
 	Tasks int      // tasks that look for a place
 	Share float64  // share of the owned machines to sample (the paper's N_p)
-
-	KeepOrdinary bool // other jobs may not use spot machines: leave them the ordinary ones
 }
 
 // Candidate is a machine that passed the filters, with its score.
--- a/placer/place.go
+++ b/placer/place.go
@@ -18,10 +18,6 @@
 // batchTasks bounds how many tasks of a job one placement looks for.
 const batchTasks = 64
 
-// noSpotMemory is how long a job that may not use spot machines counts as a
-// sign that others like it will come.
-const noSpotMemory = 5 * time.Minute
-
 // maxPlacements bounds the placements at work at the same time.
 const maxPlacements = 8
 
@@ -150,7 +146,7 @@
 		}
 	}
 	req := agent.Request{Spec: *spec, Slot: j.slot, Epoch: s.epoch, Avoid: slices.Clone(j.avoid), Tasks: len(indices),
-		KeepOrdinary: time.Since(p.noSpotAt) < noSpotMemory, Share: p.policy.SampleMachines, Zones: openZones(spec, others, p.settings.Zones)}
+		Share: p.policy.SampleMachines, Zones: openZones(spec, others, p.settings.Zones)}
 	p.mu.Unlock()
 
 	candidates := p.sample(ctx, req)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -110,7 +110,6 @@
 	fullAt   map[shapeKey]time.Time
 	gone     map[string]deleted // records deleted lately, which a slower read may still show
 	workers  int
-	noSpotAt time.Time // when a job that may not use spot machines was last seen
 	counters Counters
 	kick     chan struct{}
 }
@@ -411,9 +410,6 @@
 	p.mu.Lock()
 	_, known := p.jobs[id]
 	s := p.slots[rec.Slot]
-	if !rec.Spec.Spot {
-		p.noSpotAt = time.Now()
-	}
 	p.mu.Unlock()
 	if known {
 		return
