Keep room ready for one task of each class of gangs seen lately

Cause: a gang that finds no empty machine waits for tasks to save, or for a boot of 40 s, and then for its image.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,6 +26,7 @@
 	MultiBind         int           // candidates tried in the commit phase (m)
 	RetryAfter        time.Duration // pause before a job without a place samples again
 	IdleReturn        time.Duration // idle time after which a machine is returned
+	WarmGangs         int           // tasks of each class of gangs for which room is kept ready
 	Preempt           bool          // stop tasks of lower priority to make room for gangs
 
 	order *vm.Program // queue_order, nil for the built-in order
@@ -33,7 +34,7 @@
 
 // Default returns the policy that holds where operators set nothing.
 func Default() *Policy {
-	return &Policy{SampleControllers: 1, SampleMachines: 1, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 60 * time.Second, Preempt: true}
+	return &Policy{SampleControllers: 1, SampleMachines: 1, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 60 * time.Second, WarmGangs: 1, Preempt: true}
 }
 
 // jobEnv is what queue_order can refer to.
@@ -64,6 +65,7 @@
 	"sample_timeout_s":   {0.05, 10, func(p *Policy, v float64) { p.SampleTimeout = seconds(v) }},
 	"multibind":          {1, 20, func(p *Policy, v float64) { p.MultiBind = int(v) }},
 	"retry_s":            {0.1, 60, func(p *Policy, v float64) { p.RetryAfter = seconds(v) }},
+	"warm_gangs":         {0, 100, func(p *Policy, v float64) { p.WarmGangs = int(v) }},
 	"idle_return_s":      {1, 86400, func(p *Policy, v float64) { p.IdleReturn = seconds(v) }},
 }
 
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -25,9 +25,19 @@
 	silent   map[string]time.Time
 	deleted  map[string]time.Time
 	requests int
-	retry    *cloud.Rental // a rental without an answer, to be repeated under its name
+	gangs    map[string]gangClass // classes of gangs seen lately
+	retry    *cloud.Rental        // a rental without an answer, to be repeated under its name
 }
 
+// gangClass is a class of gangs for which room is kept ready.
+type gangClass struct {
+	spec job.Spec
+	seen time.Time
+}
+
+// warmFor is how long after its last job a class of gangs has room kept ready.
+const warmFor = 2 * time.Minute
+
 type boot struct {
 	pool
 	since time.Time
@@ -35,7 +45,7 @@
 
 func newFleet() fleet {
 	return fleet{booting: map[string]boot{}, listed: map[string]time.Time{}, last: map[string]cloud.Machine{}, shut: map[pool]time.Time{},
-		silent: map[string]time.Time{}, deleted: map[string]time.Time{}}
+		gangs: map[string]gangClass{}, silent: map[string]time.Time{}, deleted: map[string]time.Time{}}
 }
 
 // runList reads the cloud's list and prices from time to time.
@@ -193,12 +203,15 @@
 			continue
 		}
 		for _, j := range d.jobs {
+			if j.Spec.Shape == job.Gang && j.Spec.Priority() > job.LowestPriority {
+				f.gangs[j.Spec.Class] = gangClass{j.Spec, now}
+			}
 			if j.Waiting > 0 {
 				demands = append(demands, j)
 			}
 		}
 	}
-	demands = s.withinLimits(demands)
+	demands = append(s.withinLimits(demands), s.warmDemand(now)...)
 	if f.retry != nil {
 		rentals = append(rentals, *f.retry)
 	}
@@ -217,6 +230,22 @@
 	return rentals, returns, deletes
 }
 
+// warmDemand asks for room for the next gangs: of whole machines there is
+// seldom one free by chance, and a boot takes longer than they are to wait.
+func (s *Steward) warmDemand(now time.Time) []Demand {
+	var out []Demand
+	for class, g := range s.fleet.gangs {
+		if now.Sub(g.seen) > warmFor {
+			delete(s.fleet.gangs, class)
+			continue
+		}
+		g.spec.Rank = "best_effort" // behind all that really waits
+		g.spec.DeadlineS = nil
+		out = append(out, Demand{Spec: g.spec, Waiting: s.policy.WarmGangs})
+	}
+	return out
+}
+
 // withinLimits cuts the demand down to what the teams' limits let run.
 func (s *Steward) withinLimits(demands []Demand) []Demand {
 	use, _ := s.usage()
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -132,3 +132,33 @@
 		t.Fatalf("no spot machine for a job that forbids it: %v", rent)
 	}
 }
+
+// Room is kept ready for classes of gangs seen lately, and not for ever.
+func TestRoomIsKeptReadyForGangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newSteward(t, t.Context())
+		s.settled = true
+		spec := job.Spec{ID: "wk-1", Class: "train", Team: "t", Shape: job.Gang, Rank: "high", Tasks: 1, Need: job.Need{GPUs: 8}}
+		demand := func(jobs ...Demand) int {
+			if err := NewService(s).Demand(DemandRequest{Host: "host-0", Jobs: jobs}, &struct{}{}); err != nil {
+				t.Fatal(err)
+			}
+			rentals, _, _ := s.planFleet(time.Now())
+			n := 0
+			for _, r := range rentals {
+				n += r.Count
+			}
+			return n
+		}
+		if n := demand(Demand{Spec: spec, Running: 1}); n != 1 {
+			t.Fatalf("one runs, one is expected: rented %d", n)
+		}
+		if n := demand(Demand{Spec: spec, Waiting: 1}); n != 2 {
+			t.Fatalf("one waits, one is expected: rented %d", n)
+		}
+		time.Sleep(warmFor + time.Second)
+		if n := demand(); n != 0 {
+			t.Fatalf("none for two minutes: rented %d", n)
+		}
+	})
+}
