--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -138,6 +138,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, _ := newSteward(t, t.Context())
 		s.settled = true
+		s.policy.WarmGangs = 1
 		spec := job.Spec{ID: "wk-1", Class: "train", Team: "t", Shape: job.Gang, Rank: "high", Tasks: 1, Need: job.Need{GPUs: 8}}
 		demand := func(jobs ...Demand) int {
 			if err := NewService(s).Demand(DemandRequest{Host: "host-0", Jobs: jobs}, &struct{}{}); err != nil {
