--- /dev/null
+++ b/placer/story_test.go
@@ -0,0 +1,367 @@
+package placer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/cloud"
+	"robinstack/config"
+	"robinstack/fakes"
+	"robinstack/job"
+	"robinstack/placer"
+	"robinstack/policy"
+	"robinstack/statekv"
+	"robinstack/worker"
+)
+
+// world is a service of two controllers without a network: calls go straight
+// to the services.
+type world struct {
+	t       *testing.T
+	ctx     context.Context
+	state   *fakes.State
+	workers *fakes.Workers
+	mu      sync.Mutex
+	nodes   map[string]*node
+	boxes   []*fakes.Worker
+}
+
+type node struct {
+	host   string
+	agent  *agent.Agent
+	svc    *agent.Service
+	placer *placer.Placer
+	member *statekv.Member
+	stop   context.CancelFunc
+	up     bool
+}
+
+// node returns a controller that is up, or nil.
+func (w *world) node(host string) *node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if n := w.nodes[host]; n != nil && n.up {
+		return n
+	}
+	return nil
+}
+
+// Call is the agent.Caller of all nodes.
+func (w *world) Call(_ context.Context, host, method string, args, reply any) error {
+	n := w.node(host)
+	if n == nil {
+		return errors.New("connection refused")
+	}
+	switch method {
+	case "Agent.Sample":
+		return n.svc.Sample(args.(agent.Request), reply.(*agent.Sample))
+	case "Agent.Clearable":
+		return n.svc.Clearable(args.(agent.Request), reply.(*agent.Sample))
+	case "Agent.Clear":
+		return n.svc.Clear(args.(agent.CommitRequest), reply.(*agent.CommitReply))
+	case "Agent.Commit":
+		return n.svc.Commit(args.(agent.CommitRequest), reply.(*agent.CommitReply))
+	case "Agent.Stop":
+		return n.svc.Stop(args.(agent.StopRequest), &struct{}{})
+	case "Agent.Void":
+		return n.svc.Void(args.(agent.VoidRequest), reply.(*agent.VoidReply))
+	case "Agent.Watch":
+		return n.svc.Watch(args.(agent.WatchRequest), reply.(*agent.WatchReply))
+	}
+	return fmt.Errorf("no method %s", method)
+}
+
+func (w *world) start(host string) *node {
+	w.t.Helper()
+	settings := &config.Settings{Host: host, Teams: map[string]config.Team{"t": {Name: "t"}}, Zones: []string{"a", "b"},
+		Workers: config.Workers{Report: 3 * time.Second, Lease: 30 * time.Second, GangWait: 45 * time.Second, CancelGone: 60 * time.Second},
+		State:   config.State{RPS: 100, WriteRPS: 50, ValueBytes: 8192, TxnOps: 24}}
+	ctx, stop := context.WithCancel(w.ctx)
+	n := &node{host: host, stop: stop, up: true}
+	mirror := statekv.NewMirror(w.state, statekv.FleetPrefix, statekv.RootPrefix, func(events []statekv.Event) {
+		for _, e := range events {
+			n.placer.OnJobEvent(e)
+		}
+	})
+	if err := mirror.Load(ctx); err != nil {
+		w.t.Fatal(err)
+	}
+	var err error
+	if n.member, err = statekv.Join(ctx, w.state, mirror, host, 4*time.Second); err != nil {
+		w.t.Fatal(err)
+	}
+	types := map[string]cloud.MachineType{"box": {Name: "box", CPUs: 8, GPUs: 2, MemoryGB: 64}}
+	n.agent = agent.New(settings, w.state, mirror, n.member, w.workers, func() map[string]cloud.MachineType { return types })
+	n.svc = agent.NewService(n.agent)
+	n.placer = placer.New(settings, policy.Default(), w.state, mirror, n.member, w)
+	feed := agent.NewFeed(w, mirror, []string{"host-0", "host-1"}, n.placer.Epoch, n.placer.OnEntries)
+	w.mu.Lock()
+	w.nodes[host] = n
+	w.mu.Unlock()
+	go mirror.Run(ctx)
+	go func() { _ = n.member.Keep(ctx) }()
+	go n.agent.Run(ctx)
+	go feed.Run(ctx)
+	go n.placer.Run(ctx, feed)
+	return n
+}
+
+// crash ends a node's life; its state lease runs out at once.
+func (w *world) crash(n *node, lease uint64) {
+	w.mu.Lock()
+	n.up = false
+	w.mu.Unlock()
+	n.stop()
+	synctest.Wait()
+	if err := w.state.Revoke(w.ctx, lease); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// run lets time pass, with every worker reporting to whoever answers.
+func (w *world) run(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second) {
+		for _, box := range w.boxes {
+			for _, host := range []string{"host-0", "host-1"} {
+				n := w.node(host)
+				if n == nil {
+					continue
+				}
+				r := w.workers.Next(box)
+				if reply := n.agent.Report(w.ctx, &r); reply.Owner {
+					w.workers.Answer(box, reply.Answer)
+					break
+				}
+			}
+		}
+	}
+}
+
+func (w *world) submit(n *node, spec job.Spec) {
+	w.t.Helper()
+	slot, _, ok := n.placer.Home()
+	if !ok {
+		w.t.Fatal("no slot")
+	}
+	rec := &job.Record{Spec: spec, Slot: slot, Submitted: time.Now().UnixMilli()}
+	rev, err := n.member.Write(w.ctx, []statekv.Cond{{Key: job.OpenKey(spec.ID)}}, []statekv.Op{{Set: job.OpenKey(spec.ID), Value: rec}})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	n.placer.Accepted(rec, rev)
+}
+
+func (w *world) final(id string) string {
+	f, err := job.ReadFinal(w.ctx, w.state, id)
+	if err != nil {
+		return ""
+	}
+	return f.Status
+}
+
+// starts counts how often each task was started, and tasks counts those that
+// are on machines.
+func (w *world) starts() map[string]int {
+	out := map[string]int{}
+	w.workers.Do(func() {
+		for _, b := range w.boxes {
+			for _, s := range b.Starts {
+				out[s]++
+			}
+		}
+	})
+	return out
+}
+
+func (w *world) tasks() (n int) {
+	w.workers.Do(func() {
+		for _, b := range w.boxes {
+			n += len(b.Report.Tasks)
+		}
+	})
+	return n
+}
+
+func (w *world) endAll(cause string) {
+	var ids []string
+	w.workers.Do(func() {
+		for _, b := range w.boxes {
+			for _, t := range b.Report.Tasks {
+				ids = append(ids, t.ID)
+			}
+		}
+	})
+	for _, b := range w.boxes {
+		for _, id := range ids {
+			w.workers.End(b, id, cause)
+		}
+	}
+}
+
+func spec(id, shape string, tasks int, gpus float64) job.Spec {
+	return job.Spec{ID: id, Class: "c", Team: "t", Shape: shape, Rank: "normal", Tasks: tasks, Need: job.Need{CPUs: 1, GPUs: gpus, MemoryGB: 1}, Image: "i", Spot: true}
+}
+
+func story(t *testing.T, f func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := &world{t: t, ctx: ctx, state: fakes.NewState(), workers: fakes.NewWorkers(), nodes: map[string]*node{}}
+		defer func() { cancel(); time.Sleep(10 * time.Second); synctest.Wait() }()
+		w.boxes = []*fakes.Worker{w.workers.Add("m1", "box", "a"), w.workers.Add("m2", "box", "b")}
+		f(w)
+	})
+}
+
+// Guards against not_done and ran_twice: more tasks than places, each started
+// once; done is recorded when all are, and only then are they forgotten.
+func TestArrayRunsToItsEnd(t *testing.T) {
+	story(t, func(w *world) {
+		n := w.start("host-0")
+		w.run(3 * time.Second)
+		w.submit(n, spec("wk-1", job.Array, 6, 1))
+		w.run(4 * time.Second)
+		if got := len(w.starts()); got != 4 {
+			t.Fatalf("%d tasks started on four places", got)
+		}
+		w.endAll(worker.Done)
+		w.run(5 * time.Second)
+		if w.final("wk-1") != "" {
+			t.Fatal("called done with two tasks left")
+		}
+		w.endAll(worker.Done)
+		w.run(5 * time.Second)
+		if w.final("wk-1") != job.Done {
+			t.Fatal("not recorded as done")
+		}
+		for task, n := range w.starts() {
+			if n != 1 {
+				t.Errorf("%s was started %d times", task, n)
+			}
+		}
+		if w.tasks() != 0 {
+			t.Error("ended tasks were not forgotten")
+		}
+	})
+}
+
+// Guards against ran_cancelled and went_back: any controller may write the
+// cancellation; the placer stops the tasks and starts no more of them.
+func TestCancelledJobStops(t *testing.T) {
+	story(t, func(w *world) {
+		n := w.start("host-0")
+		w.run(3 * time.Second)
+		w.submit(n, spec("wk-1", job.Array, 6, 1))
+		w.run(4 * time.Second)
+		if _, err := w.state.Txn(w.ctx, nil, []statekv.Op{{Delete: job.OpenKey("wk-1")}, {Set: job.FinalKey("wk-1"), Value: job.Final{Status: job.Cancelled, Tasks: 6}}}); err != nil {
+			t.Fatal(err)
+		}
+		w.run(6 * time.Second)
+		if w.tasks() != 0 || len(w.starts()) != 4 || w.final("wk-1") != job.Cancelled {
+			t.Fatalf("%d tasks on machines, %d started, %s", w.tasks(), len(w.starts()), w.final("wk-1"))
+		}
+	})
+}
+
+// Guards against ran_twice and forgotten: when the placer that also owned the
+// machines crashes, another adopts its jobs and machines; what runs goes on,
+// and only what never started is started.
+func TestCrashedPlacersJobsAreAdopted(t *testing.T) {
+	story(t, func(w *world) {
+		a := w.start("host-0")
+		w.run(3 * time.Second)
+		w.start("host-1")
+		w.run(2 * time.Second)
+		w.submit(a, spec("wk-1", job.Array, 6, 1))
+		w.run(4 * time.Second)
+		w.crash(a, 1)
+		w.run(8 * time.Second)
+		w.endAll(worker.Done)
+		w.run(6 * time.Second)
+		w.endAll(worker.Done)
+		w.run(6 * time.Second)
+		if w.final("wk-1") != job.Done {
+			t.Fatal("the adopted job did not finish")
+		}
+		for task, n := range w.starts() {
+			if n != 1 {
+				t.Errorf("%s was started %d times", task, n)
+			}
+		}
+	})
+}
+
+// Guards against ran_twice: a worker that cannot be reached keeps its task's
+// place until its lease has run out, and only then is the task started again.
+func TestTaskOfASilentMachineWaitsForTheLease(t *testing.T) {
+	story(t, func(w *world) {
+		n := w.start("host-0")
+		w.run(3 * time.Second)
+		w.submit(n, spec("wk-1", job.Array, 1, 2))
+		w.run(3 * time.Second)
+		lost, other := w.boxes[0], w.boxes[1]
+		w.workers.Do(func() {
+			if len(lost.Starts) == 0 {
+				lost, other = other, lost
+			}
+			lost.Deaf = true
+		})
+		w.boxes = []*fakes.Worker{other}
+		w.run(25 * time.Second)
+		if len(w.starts()) != 0 {
+			t.Fatal("started elsewhere while it may still run")
+		}
+		w.run(15 * time.Second)
+		if w.starts()["wk-1/0"] != 1 {
+			t.Fatal("not started again after the lease")
+		}
+	})
+}
+
+// A gang starts as a whole or not at all, and a lost member stops the others
+// before the gang starts anew.
+func TestGangIsAllOrNothing(t *testing.T) {
+	story(t, func(w *world) {
+		n := w.start("host-0")
+		w.run(3 * time.Second)
+		w.submit(n, spec("wk-1", job.Array, 1, 1))
+		w.run(3 * time.Second)
+		w.submit(n, spec("wk-2", job.Gang, 2, 2))
+		w.run(5 * time.Second)
+		if s := w.starts(); s["wk-2/0"]+s["wk-2/1"] != 0 {
+			t.Fatalf("part of the gang started: %v", s)
+		}
+		w.endAll(worker.Done)
+		w.run(5 * time.Second)
+		if s := w.starts(); s["wk-2/0"] != 1 || s["wk-2/1"] != 1 {
+			t.Fatalf("the gang did not start: %v", s)
+		}
+		w.workers.End(w.boxes[0], "wk-2/0", worker.Failed)
+		w.workers.End(w.boxes[0], "wk-2/1", worker.Failed)
+		w.run(2 * time.Second)
+		if got := w.tasks(); got > 1 {
+			t.Fatalf("%d tasks of a broken gang left", got)
+		}
+	})
+}
+
+// A job that fails on every machine is tried more and more rarely.
+func TestJobThatAlwaysFailsDoesNotBurnTheFleet(t *testing.T) {
+	story(t, func(w *world) {
+		n := w.start("host-0")
+		w.run(3 * time.Second)
+		w.submit(n, spec("wk-1", job.Array, 1, 1))
+		for range 60 {
+			w.run(time.Second)
+			w.endAll(worker.Failed)
+		}
+		if got := w.starts()["wk-1/0"]; got < 2 || got > 8 {
+			t.Fatalf("%d tries in a minute", got)
+		}
+	})
+}
