--- a/agent/machine.go
+++ b/agent/machine.go
@@ -181,6 +181,20 @@
 	return changed
 }
 
+// imageState is 1 if the image is known to be on the machine, and half of that
+// if another task is having it fetched.
+func (m *machine) imageState(image string) float64 {
+	if _, has := m.images[image]; has {
+		return 1
+	}
+	for _, t := range m.tasks {
+		if t.spec != nil && t.spec.Image == image && (t.state == worker.Fetching || t.state == Starting) {
+			return 0.5
+		}
+	}
+	return 0
+}
+
 // learn takes note of what a task's state says about its machine.
 func (m *machine) learn(t *task, now time.Time) {
 	switch t.state {
--- a/agent/service.go
+++ b/agent/service.go
@@ -91,10 +91,10 @@
 			continue
 		}
 		room += n
-		_, has := m.images[r.Spec.Image]
+		image := m.imageState(r.Spec.Image)
 		reply.Candidates = append(reply.Candidates, Candidate{
-			Machine: m.name, Host: a.member.Host, Rev: m.rev, Zone: m.zone, Fits: n, HasImage: has,
-			Score: score(job.Capacity(types[m.typeName]), free, r.Spec.Need, has, cheapness(types, &r.Spec, m.typeName, m.spot)),
+			Machine: m.name, Host: a.member.Host, Rev: m.rev, Zone: m.zone, Fits: n,
+			Score: score(job.Capacity(types[m.typeName]), free, r.Spec.Need, image, cheapness(types, &r.Spec, m.typeName, m.spot)),
 		})
 	}
 	reply.Exhausted = len(reply.Candidates) < wanted
@@ -107,10 +107,10 @@
 }
 
 // score sums the Score plugins: the machine left fullest (0 to 100), the image
-// already there (100), and how cheap the place is (0 to 150). The last leaves
+// already there (100) or on its way, and how cheap the place is (0 to 150). The last leaves
 // dear machines idle, so that they are returned, and ordinary ones to jobs that
 // may not use spot machines.
-func score(capacity, free, need job.Need, hasImage bool, cheap float64) float64 {
+func score(capacity, free, need job.Need, image, cheap float64) float64 {
 	left := free.Add(need, -1)
 	full := 0.0
 	for _, p := range [][2]float64{{left.CPUs, capacity.CPUs}, {left.GPUs, capacity.GPUs}, {left.MemoryGB, capacity.MemoryGB}} {
@@ -118,11 +118,7 @@
 			full = max(full, 1-p[0]/p[1])
 		}
 	}
-	total := 100*full + 150*cheap
-	if hasImage {
-		total += 100
-	}
-	return total
+	return 100*full + 150*cheap + 100*image
 }
 
 // cheapness compares what a place for need costs on a machine with the least
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -19,13 +19,12 @@
 
 // Candidate is a machine that passed the filters, with its score.
 type Candidate struct {
-	Machine  string
-	Host     string
-	Rev      uint64
-	Zone     string
-	Fits     int // how many of the job's tasks have room
-	Score    float64
-	HasImage bool
+	Machine string
+	Host    string
+	Rev     uint64
+	Zone    string
+	Fits    int // how many of the job's tasks have room
+	Score   float64
 }
 
 // Sample is the answer to a sampling request.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -20,9 +20,7 @@
 	self      string
 	addresses map[string]string
 	local     *rpc.Client
-
-	mu    sync.Mutex
-	links map[string]*link
+	links     map[string]*link
 }
 
 // link is one connection to a peer; calls that find it broken dial anew.
--- a/placer/place.go
+++ b/placer/place.go
@@ -188,10 +188,7 @@
 	full = len(refused) > 0 || len(lists) < len(indices)
 	commit := agent.CommitRequest{Request: req, StewardEpoch: stewardEpoch}
 	if spec.Shape == job.Gang && len(granted) > 1 {
-		if !p.assemble(ctx, j, commit, granted) {
-			return true
-		}
-		return false
+		return !p.assemble(ctx, j, commit, granted)
 	}
 	p.multiBind(ctx, j, commit, granted)
 	for _, b := range granted {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -54,7 +54,6 @@
 	tasks     []taskState
 	done      job.Set
 	doneCount int
-	running   int
 	fresh     bool   // accepted in this life: nothing of it can run unknown to us
 	over      string // final status, once decided
 	recorded  bool   // the final status is durable
