Take up claims whose answer was lost; clear the books of deleted machines

Found by reading: such a machine had a key but nobody to look after it, so slots adopted later could not settle. Test fails without it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -248,12 +248,15 @@
 			a.release(m)
 		}
 		a.mu.Unlock()
-		if m != nil || a.member.Alive(key.Holder) {
+		mine := key.Holder == a.member.Holder
+		if m != nil || !mine && a.member.Alive(key.Holder) {
 			continue
 		}
 		h := fnv.New32a()
 		h.Write([]byte(name))
-		if hosts[int(h.Sum32()%uint32(len(hosts)))] != a.member.Host {
+		// A key of ours without a machine is a claim whose answer was lost: if
+		// its worker never came again, nobody else would look after it.
+		if !mine && hosts[int(h.Sum32()%uint32(len(hosts)))] != a.member.Host {
 			continue
 		}
 		key.Holder = a.member.Holder
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -364,3 +364,21 @@
 		}
 	})
 }
+
+// A claim that was written although its answer was lost is taken up even if the
+// worker never reports again: until somebody looks after the machine, no slot
+// that is adopted can settle.
+func TestLostClaimIsTakenUp(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		w := workers.Add("m1", "box", "a")
+		state.Set(false, true)
+		go n.report(workers, w)
+		synctest.Wait()
+		state.Set(false, false)
+		time.Sleep(5 * time.Second)
+		if e, ok := n.entries()["m1"]; !ok || !e.Settled {
+			t.Fatalf("nobody looks after the machine: %+v", e)
+		}
+	})
+}
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -176,6 +176,13 @@
 		}
 		bins = append(bins, b)
 	}
+	for name, at := range f.deleted {
+		if now.Sub(at) > 10*time.Minute {
+			delete(f.deleted, name)
+			delete(f.listed, name)
+			delete(f.silent, name)
+		}
+	}
 	for name := range s.held {
 		if !present[name] {
 			delete(s.held, name)
