Owners answer although the hold time is short

Now watches wait for at most a quarter of the hold time, which is at least 2.5 s. The test fails without the fix.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -17,9 +17,12 @@
 
 var types = map[string]cloud.MachineType{"box": {Name: "box", CPUs: 8, GPUs: 2, MemoryGB: 64}}
 
+// cancelGone is the cancellation time; a story may shorten it.
+var cancelGone = 60 * time.Second
+
 func settings() *config.Settings {
 	return &config.Settings{Host: "host-0", Teams: map[string]config.Team{},
-		Workers: config.Workers{Report: 3 * time.Second, Lease: 30 * time.Second, GangWait: 45 * time.Second, GangPeer: 5 * time.Second, CancelGone: 60 * time.Second},
+		Workers: config.Workers{Report: 3 * time.Second, Lease: 30 * time.Second, GangWait: 45 * time.Second, GangPeer: 5 * time.Second, CancelGone: cancelGone},
 		State:   config.State{RPS: 100, WriteRPS: 50, ValueBytes: 8192, TxnOps: 24}}
 }
 
@@ -35,7 +38,7 @@
 func start(t *testing.T, ctx context.Context, host string, state *fakes.State, workers *fakes.Workers) *node {
 	t.Helper()
 	ctx, stop := context.WithCancel(ctx)
-	mirror := statekv.NewMirror(state, statekv.FleetPrefix, statekv.RootPrefix, func([]statekv.Event) {})
+	mirror := statekv.NewMirror(state, statekv.FleetPrefix, statekv.RootPrefix, settings().WatchTime(), func([]statekv.Event) {})
 	if err := mirror.Load(ctx); err != nil {
 		t.Fatal(err)
 	}
@@ -382,3 +385,23 @@
 		}
 	})
 }
+
+// Where the cancellation time is hardly longer than the worker's lease, an owner
+// whose lease is held must still answer every report: it took its own view of
+// the fleet for outdated between two watches, and machines went from owner to
+// owner for ever.
+func TestOwnerAnswersWithLittleHoldTime(t *testing.T) {
+	cancelGone = 33 * time.Second
+	defer func() { cancelGone = 60 * time.Second }()
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		w := workers.Add("m1", "box", "a")
+		n.report(workers, w)
+		for i := range 40 {
+			time.Sleep(300 * time.Millisecond)
+			if !n.report(workers, w).Owner {
+				t.Fatalf("report %d was turned away", i)
+			}
+		}
+	})
+}
--- a/config/config.go
+++ b/config/config.go
@@ -214,9 +214,16 @@
 
 // HoldTime is how long an owner that cannot renew its state lease goes on
 // answering its workers. Whatever it keeps alive must still be gone within
-// the cancellation time once the worker's own lease has run out as well.
+// the cancellation time once the worker's own lease has run out as well. It is
+// never less than what renewals and watches take when all is well.
 func (s *Settings) HoldTime() time.Duration {
-	return max(0, s.Workers.CancelGone-s.Workers.Lease-4*time.Second)
+	return max(2500*time.Millisecond, s.Workers.CancelGone-s.Workers.Lease-4*time.Second)
+}
+
+// WatchTime is how long a watch of the state service may wait: an owner takes
+// its view for current only for the hold time, so it must be renewed within it.
+func (s *Settings) WatchTime() time.Duration {
+	return min(2*time.Second, s.HoldTime()/4)
 }
 
 // GoneAfter is the time after which a worker that nobody answers any more has
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -83,7 +83,7 @@
 		pl *placer.Placer
 		st *steward.Steward
 	)
-	mirror := statekv.NewMirror(c.store, statekv.FleetPrefix, statekv.RootPrefix, func(events []statekv.Event) {
+	mirror := statekv.NewMirror(c.store, statekv.FleetPrefix, statekv.RootPrefix, c.settings.WatchTime(), func(events []statekv.Event) {
 		if events == nil {
 			go pl.Recheck(ctx)
 			return
--- a/statekv/mirror.go
+++ b/statekv/mirror.go
@@ -16,6 +16,7 @@
 	store  Store
 	keep   string // prefix of the keys that are kept
 	follow string // prefix of the changes that are followed
+	block  time.Duration
 	onNews func([]Event)
 
 	mu     sync.Mutex
@@ -26,10 +27,10 @@
 	moved  chan struct{} // closed and replaced whenever rev grows
 }
 
-// NewMirror returns a mirror; onNews, called from one goroutine, gets every
+// NewMirror returns a mirror whose watches wait for at most block; onNews, called from one goroutine, gets every
 // change after the first load and, after a gap in the watch, nil.
-func NewMirror(store Store, keep, follow string, onNews func([]Event)) *Mirror {
-	return &Mirror{store: store, keep: keep, follow: follow, onNews: onNews, keys: map[string]KV{}, moved: make(chan struct{})}
+func NewMirror(store Store, keep, follow string, block time.Duration, onNews func([]Event)) *Mirror {
+	return &Mirror{store: store, keep: keep, follow: follow, block: block, onNews: onNews, keys: map[string]KV{}, moved: make(chan struct{})}
 }
 
 // Load reads the kept keys anew.
@@ -70,7 +71,7 @@
 		since := m.rev
 		m.mu.Unlock()
 		sent := time.Now()
-		news, err := m.store.Follow(ctx, m.follow, since, 2*time.Second)
+		news, err := m.store.Follow(ctx, m.follow, since, m.block)
 		if errors.Is(err, ErrCompacted) {
 			if err = m.Load(ctx); err == nil {
 				m.onNews(nil)
