--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"hash/fnv"
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +29,24 @@
 	Spot    bool   `json:"spot"`
 }
 
+// ParseKey reads a machine's key for the mirror, once for all who look at it.
+func ParseKey(key string, value json.RawMessage) any {
+	var k MachineKey
+	if !strings.HasPrefix(key, statekv.MachinePrefix) || json.Unmarshal(value, &k) != nil {
+		return nil
+	}
+	return &k
+}
+
+// KeyOf returns what a machine's key holds, or nil if it cannot be read.
+func KeyOf(kv statekv.KV) *MachineKey {
+	if k, ok := kv.Parsed.(*MachineKey); ok {
+		return k
+	}
+	k, _ := ParseKey(kv.Key, kv.Value).(*MachineKey)
+	return k
+}
+
 // Agent owns machines. Its mutex guards all its state and is never held over I/O.
 type Agent struct {
 	settings *config.Settings
@@ -46,6 +66,7 @@
 	ctx      context.Context
 	machines map[string]*machine
 	voided   map[TaskRef]time.Time
+	unread   map[string]bool  // jobs whose records have to be read
 	visits   map[string]visit // workers that keep coming though their owner lives
 	ver      uint64
 	changed  chan struct{}
@@ -74,7 +95,7 @@
 	return &Agent{
 		settings: settings, store: store, mirror: mirror, member: member, workers: workers, types: types,
 		claims: make(chan claim, 256), learns: make(chan struct{}, 1),
-		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, visits: map[string]visit{}, changed: make(chan struct{}),
+		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, visits: map[string]visit{}, changed: make(chan struct{}),
 	}
 }
 
@@ -86,6 +107,7 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { a.runClaims(ctx) })
 	duties.Go(func() { a.runLearning(ctx) })
+	duties.Go(func() { a.runRemovals(ctx) })
 	tick := time.NewTicker(500 * time.Millisecond)
 	defer tick.Stop()
 	for ctx.Err() == nil {
@@ -135,9 +157,10 @@
 		return reply
 	}
 	kv, exists := a.mirror.Get(statekv.MachinePrefix + r.Machine)
-	var key MachineKey
-	if exists && json.Unmarshal(kv.Value, &key) == nil && key.Holder != a.member.Holder && a.member.Alive(key.Holder) && !a.cannotReach(r.Machine, now) {
-		return Reply{Home: key.Host}
+	if exists {
+		if key := KeyOf(kv); key != nil && key.Holder != a.member.Holder && a.member.Alive(key.Holder) && !a.cannotReach(r.Machine, now) {
+			return Reply{Home: key.Host}
+		}
 	}
 	c := claim{name: r.Machine, seen: kv.Rev, done: make(chan struct{}),
 		key: MachineKey{Holder: a.member.Holder, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}}
@@ -198,20 +221,24 @@
 	}
 	if m.apply(r, now, 0) {
 		a.touch(m)
-		a.wantLearning()
+		a.wantLearning(m)
 	}
 	m.answerEnd = now
-	m.wake()
+	if m.pressing(now) {
+		m.wake()
+	}
 	return Reply{Owner: true, Answer: worker.Answer{Token: m.token(), Orders: m.orders(now, false)}}, true
 }
 
 func (a *Agent) homeOf(name string) string {
 	kv, ok := a.mirror.Get(statekv.MachinePrefix + name)
-	var key MachineKey
-	if !ok || json.Unmarshal(kv.Value, &key) != nil || key.Host == a.member.Host || !a.member.Alive(key.Holder) {
+	if !ok {
 		return ""
 	}
-	return key.Host
+	if key := KeyOf(kv); key != nil && key.Host != a.member.Host && a.member.Alive(key.Holder) {
+		return key.Host
+	}
+	return ""
 }
 
 // release gives up a machine that a successor owns.
@@ -236,11 +263,12 @@
 	if !a.member.Certain() || len(hosts) == 0 {
 		return
 	}
-	for _, kv := range a.mirror.Prefix(statekv.MachinePrefix) {
-		var key MachineKey
-		if json.Unmarshal(kv.Value, &key) != nil {
+	for _, kv := range a.mirror.Dir(statekv.MachinePrefix) {
+		known := KeyOf(kv)
+		if known == nil {
 			continue
 		}
+		key := *known
 		name := kv.Key[len(statekv.MachinePrefix):]
 		a.mu.Lock()
 		m := a.machines[name]
@@ -280,6 +308,9 @@
 		for len(batch) < a.settings.State.TxnOps && len(a.claims) > 0 {
 			batch = append(batch, <-a.claims)
 		}
+		for !a.store.Room(statekv.Claims, len(batch)) && ctx.Err() == nil {
+			time.Sleep(50 * time.Millisecond)
+		}
 		a.claimBatch(ctx, batch)
 		for _, c := range batch {
 			close(c.done)
@@ -322,9 +353,12 @@
 		batch = nil // the caller's slice stays as it is: it closes every claim once
 		for _, c := range wanted {
 			kv, err := a.store.Get(ctx, statekv.MachinePrefix+c.name)
-			var key MachineKey
+			var key *MachineKey
+			if err == nil {
+				key = KeyOf(kv)
+			}
 			switch {
-			case err == nil && json.Unmarshal(kv.Value, &key) == nil && key.Holder == a.member.Holder:
+			case key != nil && key.Holder == a.member.Holder:
 				a.own([]claim{c}, kv.Rev)
 			case err == nil && kv.Rev == c.seen, err == statekv.ErrNotFound && c.seen == 0:
 				batch = append(batch, c)
@@ -381,6 +415,9 @@
 			}
 			continue
 		}
+		if m.removing {
+			continue // deleted: only its key is left
+		}
 		changed := false
 		if !m.silent && now.Sub(m.heard) > 2*a.settings.Workers.Report+2*time.Second {
 			m.silent, changed = true, true
@@ -390,7 +427,7 @@
 		for k, t := range m.tasks {
 			if t.state == stateHeld && now.After(t.holdUntil) || expired {
 				t.settle(Refused)
-				delete(m.tasks, k)
+				m.drop(k)
 				changed = true
 			}
 		}
@@ -403,7 +440,7 @@
 		if changed {
 			a.touch(m)
 		}
-		if len(m.tasks) > 0 || m.unfenced() || !m.settled {
+		if !m.settled || m.pressing(now) {
 			m.wake()
 		}
 	}
@@ -433,6 +470,10 @@
 		a.mu.Unlock()
 		return false
 	}
+	if !m.pressing(now) {
+		a.mu.Unlock()
+		return false
+	}
 	orders := m.orders(now, true)
 	if len(orders) == 0 && !m.unfenced() {
 		a.mu.Unlock()
@@ -477,7 +518,7 @@
 	}
 	if m.apply(report, time.Now(), proof) {
 		a.touch(m)
-		a.wantLearning()
+		a.wantLearning(m)
 	} else if executed {
 		// A later report overtook this answer; the next one decides.
 		for _, t := range m.tasks {
@@ -494,13 +535,30 @@
 	return true
 }
 
-func (a *Agent) wantLearning() {
+// wantLearning has the records read of jobs whose tasks m turned out to have.
+func (a *Agent) wantLearning(m *machine) {
+	for _, t := range m.tasks {
+		if t.verify {
+			a.unread[t.ref.Job] = true
+		}
+	}
+	a.learnSoon()
+}
+
+func (a *Agent) learnSoon() {
+	if len(a.unread) == 0 {
+		return
+	}
 	select {
 	case a.learns <- struct{}{}:
 	default:
 	}
 }
 
+// manyUnread is from how many jobs on all open records are listed, many to a
+// request, instead of being read one by one.
+const manyUnread = 6
+
 // runLearning reads the records of jobs whose tasks were found on machines, or
 // whose placer changed: what is over is stopped, the rest gets its needs.
 func (a *Agent) runLearning(ctx context.Context) {
@@ -510,57 +568,99 @@
 			return
 		case <-a.learns:
 		}
-		ids := map[string]bool{}
 		a.mu.Lock()
-		for _, m := range a.machines {
-			for _, t := range m.tasks {
-				if t.verify {
-					ids[t.ref.Job] = true
-				}
-			}
-		}
+		ids := a.unread
+		a.unread = map[string]bool{}
 		a.mu.Unlock()
-		for id := range ids {
-			if err := a.learnJob(ctx, id); err != nil {
-				slog.Debug("reading a job's record", "job", id, "err", err)
-				time.AfterFunc(time.Second, a.wantLearning)
-				break
+		err := a.learn(ctx, ids)
+		pause := 100 * time.Millisecond // reports come in groups
+		if err != nil {
+			slog.Debug("reading jobs' records", "jobs", len(ids), "err", err)
+			pause = time.Second
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		a.mu.Lock()
+		if err != nil {
+			for id := range ids {
+				a.unread[id] = true
 			}
 		}
+		a.learnSoon()
+		a.mu.Unlock()
 	}
 }
 
-func (a *Agent) learnJob(ctx context.Context, id string) error {
-	kv, err := a.store.Get(ctx, job.OpenKey(id))
-	over := err == statekv.ErrNotFound
-	var rec *job.Record
-	if !over {
+// learn reads records and takes what was read out of ids.
+func (a *Agent) learn(ctx context.Context, ids map[string]bool) error {
+	found := map[string]*job.Record{}
+	for after, more := "", len(ids) >= manyUnread; more; {
+		page, err := a.store.List(ctx, job.OpenPrefix, after)
 		if err != nil {
 			return err
 		}
-		if rec, err = job.ParseRecord(kv.Value); err != nil {
+		for _, kv := range page.Items {
+			after = kv.Key
+			if id := strings.TrimPrefix(kv.Key, job.OpenPrefix); ids[id] {
+				rec, err := job.ParseRecord(kv.Value)
+				if err != nil {
+					return err
+				}
+				found[id] = rec
+			}
+		}
+		more = page.More && len(page.Items) > 0
+	}
+	a.learned(found)
+	for id := range found {
+		delete(ids, id)
+	}
+	// What the list did not have is over, or came since: read it by itself.
+	for id := range ids {
+		kv, err := a.store.Get(ctx, job.OpenKey(id))
+		var rec *job.Record
+		if err == nil {
+			rec, err = job.ParseRecord(kv.Value)
+		}
+		if err != nil && !errors.Is(err, statekv.ErrNotFound) {
 			return err
 		}
+		a.learned(map[string]*job.Record{id: rec})
+		delete(ids, id)
+	}
+	return nil
+}
+
+// learned takes in records; nil stands for a job that is over.
+func (a *Agent) learned(records map[string]*job.Record) {
+	if len(records) == 0 {
+		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, m := range a.machines {
+		changed := false
 		for _, t := range m.tasks {
-			if t.ref.Job != id || !t.verify {
+			rec, read := records[t.ref.Job]
+			if !read || !t.verify {
 				continue
 			}
-			t.verify = false
-			if over {
+			t.verify, changed = false, true
+			if rec == nil {
 				t.stop, t.forget = true, true
 				t.spec = &job.Spec{}
 			} else {
 				t.spec, t.slot = &rec.Spec, rec.Slot
 			}
+		}
+		if changed {
+			m.summed = false
 			m.wake()
 			a.touch(m)
 		}
 	}
-	return nil
 }
 
 // SlotMoved has the tasks of a slot checked against their records: its earlier
@@ -572,8 +672,9 @@
 		for _, t := range m.tasks {
 			if t.slot == slot {
 				t.verify = true
+				a.unread[t.ref.Job] = true
 			}
 		}
 	}
-	a.wantLearning()
+	a.learnSoon()
 }
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -38,7 +38,7 @@
 func start(t *testing.T, ctx context.Context, host string, state *fakes.State, workers *fakes.Workers) *node {
 	t.Helper()
 	ctx, stop := context.WithCancel(ctx)
-	mirror := statekv.NewMirror(state, statekv.FleetPrefix, statekv.RootPrefix, settings().WatchTime(), func([]statekv.Event) {})
+	mirror := statekv.NewMirror(state, statekv.FleetPrefix, statekv.RootPrefix, settings().WatchTime(), 0, func([]statekv.Event) {})
 	if err := mirror.Load(ctx); err != nil {
 		t.Fatal(err)
 	}
@@ -205,6 +205,7 @@
 		})
 		n.report(workers, w)
 		time.Sleep(3 * time.Second)
+		n.report(workers, w)
 		if held(workers, w) != 0 {
 			t.Fatal("a task without a job goes on")
 		}
@@ -245,7 +246,7 @@
 		if err := n.service.Stop(agent.StopRequest{Items: []agent.StopItem{{Machine: "m1", TaskRef: agent.TaskRef{Job: "wk-1", Attempt: 1}, Forget: true}}}, &struct{}{}); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(2 * time.Second)
+		n.report(workers, w) // the answer takes it along: forgetting has time
 		if held(workers, w) != 0 {
 			t.Fatal("not forgotten")
 		}
--- a/agent/clear.go
+++ b/agent/clear.go
@@ -78,11 +78,20 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, m := range a.machines {
+	pool := a.shuffled()
+	wanted := r.wanted(len(pool))
+	room := newRoomCount(&r)
+	var found []Candidate
+	for _, m := range pool {
+		if len(found) >= wanted && room.enough() {
+			break
+		}
 		if _, cost, ok := a.victims(m, &r, now); ok {
-			reply.Candidates = append(reply.Candidates, Candidate{Machine: m.name, Host: a.member.Host, Rev: m.rev, Zone: m.zone, Fits: 1, Score: -cost})
+			room.add(m.zone, 1)
+			found = append(found, Candidate{Machine: m.name, Host: a.member.Host, Rev: m.rev, Zone: m.zone, Fits: 1, Score: -cost})
 		}
 	}
+	reply.Candidates = best(found, &r)
 	return nil
 }
 
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"sync"
 	"time"
@@ -128,8 +127,8 @@
 // to its key, is in the latest entry, and its owner refuses commits that were
 // sent under epochs before the given one.
 func (f *Feed) SettledSince(kv statekv.KV, epoch uint64) bool {
-	var key MachineKey
-	if json.Unmarshal(kv.Value, &key) != nil {
+	key := KeyOf(kv)
+	if key == nil {
 		return false
 	}
 	f.mu.Lock()
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -32,7 +32,8 @@
 	fence     uint64 // token that a report must show before a copy of the start is certainly dead
 	stop      bool
 	grace     time.Duration
-	stopSent  time.Time
+	stopFirst time.Time // when the stop was sent first
+	stopSent  time.Time // and last
 	forget    bool
 	holdUntil time.Time
 	runningAt time.Time
@@ -81,6 +82,11 @@
 	quit      chan struct{}
 	retryAt   time.Time
 
+	used   job.Need // what tasks take, while summed is true
+	known  bool     // whether all their needs are
+	busy   bool     // whether there are any
+	summed bool
+
 	claimedBy    string // job for which tasks of lower priority were stopped
 	claimedUntil time.Time
 }
@@ -94,19 +100,41 @@
 	return r.Session > m.session || r.Session == m.session && r.Seq > m.seq
 }
 
-// room is what is free; known is false while a task's needs are unknown.
-func (m *machine) room(capacity job.Need) (free job.Need, known bool) {
-	free = capacity
+// put and drop keep the tasks and what is known of the machine's room together.
+func (m *machine) put(key taskKey, t *task) {
+	m.tasks[key] = t
+	m.summed = false
+}
+
+func (m *machine) drop(key taskKey) {
+	delete(m.tasks, key)
+	m.summed = false
+}
+
+// sum adds up what the tasks take, once after each change: drawing looks at
+// many machines, of which few have changed.
+func (m *machine) sum() {
+	if m.summed {
+		return
+	}
+	m.used, m.known, m.busy, m.summed = job.Need{}, true, false, true
 	for _, t := range m.tasks {
 		if !t.uses() {
 			continue
 		}
+		m.busy = true
 		if t.spec == nil {
-			return job.Need{}, false
+			m.known = false
+			continue
 		}
-		free = free.Add(t.spec.Need, -1)
+		m.used = m.used.Add(t.spec.Need, 1)
 	}
-	return free, true
+}
+
+// room is what is free; known is false while a task's needs are unknown.
+func (m *machine) room(capacity job.Need) (free job.Need, known bool) {
+	m.sum()
+	return capacity.Add(m.used, -1), m.known
 }
 
 // apply brings the tasks up to date from a report and returns whether anything
@@ -122,7 +150,7 @@
 		for k, t := range m.tasks {
 			if t.seen || t.sent {
 				t.settle(Refused)
-				delete(m.tasks, k)
+				m.drop(k)
 			}
 		}
 	}
@@ -147,10 +175,10 @@
 				continue
 			}
 			t = &task{ref: TaskRef{Job: jobID, Index: index, Attempt: w.Attempt}, id: w.ID, verify: true}
-			m.tasks[key] = t
+			m.put(key, t)
 		}
 		if t.state != w.State || t.cause != w.Cause || t.saved != w.Saved || !t.seen {
-			changed = true
+			changed, m.summed = true, false
 		}
 		t.state, t.cause, t.saved, t.seen, t.sent = w.State, w.Cause, w.Saved, true, true
 		m.learn(t, now)
@@ -165,15 +193,12 @@
 		neverStarted := t.sent && !t.seen && (r.Token > t.sentToken || executed != 0 && executed == t.sentToken)
 		if t.seen || neverStarted {
 			t.settle(Refused)
-			delete(m.tasks, k)
+			m.drop(k)
 			changed = true
 		}
 	}
-	busy := false
-	for _, t := range m.tasks {
-		busy = busy || t.uses()
-	}
-	if busy {
+	m.sum()
+	if m.busy {
 		m.idleSince = time.Time{}
 	} else if m.idleSince.IsZero() {
 		m.idleSince, changed = now, true
@@ -223,6 +248,24 @@
 	t.settle(Started)
 }
 
+// repeatStop is how long after a stop it is sent again: a task that saves takes
+// its time, and must not be told again with every answer until it is done.
+const repeatStop = 2 * time.Second
+
+// pressing reports whether a command is due that must not wait for the next
+// report. Forgetting can wait: the task has ended.
+func (m *machine) pressing(now time.Time) bool {
+	if m.unfenced() {
+		return true
+	}
+	for _, t := range m.tasks {
+		if t.state == Starting && !t.sent || t.stop && t.uses() && (t.seen || t.sent) && now.Sub(t.stopSent) > repeatStop {
+			return true
+		}
+	}
+	return false
+}
+
 // orders lists the commands that are due. Starts go only into direct commands:
 // they are answered by a report, so it is known whether they were carried out.
 func (m *machine) orders(now time.Time, direct bool) []worker.Order {
@@ -235,15 +278,16 @@
 			if t.forget && m.seenToken >= t.fence {
 				forgets = append(forgets, worker.Forget(t.id, t.ref.Attempt))
 			}
-		case t.stop && (t.seen || t.sent) && (!direct || now.Sub(t.stopSent) > time.Second):
+		case t.stop && (t.seen || t.sent) && (!direct || now.Sub(t.stopSent) > repeatStop):
+			if t.stopFirst.IsZero() {
+				t.stopFirst = now
+			}
 			grace := t.grace
-			if !t.stopSent.IsZero() && now.Sub(t.stopSent) > grace+5*time.Second {
+			if now.Sub(t.stopFirst) > grace+5*time.Second {
 				grace = 0
 			}
+			t.stopSent = now
 			stops = append(stops, worker.Stop(t.id, t.ref.Attempt, grace))
-			if t.stopSent.IsZero() {
-				t.stopSent = now
-			}
 		case direct && t.state == Starting && !t.sent && m.settled && !m.unfenced():
 			t.sent, t.sentToken = true, m.token()
 			starts = append(starts, worker.Start(t.id, t.ref.Attempt))
--- /dev/null
+++ b/agent/sample.go
@@ -0,0 +1,188 @@
+package agent
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"robinstack/cloud"
+	"robinstack/job"
+)
+
+// unfit says why tasks like these cannot be placed on m, or nothing. It is the
+// Filter stage of sampling and the conflict check of the commit.
+func (a *Agent) unfit(m *machine, r *Request, now time.Time) string {
+	switch {
+	case m.gone || m.removing || !m.settled:
+		return "machine is not settled"
+	case m.draining || m.faulty || !m.noticeAt.IsZero():
+		return "machine is being emptied"
+	case m.silent:
+		return "machine is silent"
+	case m.rev > a.mirror.Rev():
+		return "machine was claimed just now"
+	case !r.Spec.Allows(m.typeName, m.zone, m.spot):
+		return "machine is not allowed for the job"
+	case r.Zones != nil && !slices.Contains(r.Zones, m.zone):
+		return "zone is not open to the job"
+	case slices.Contains(r.Avoid, m.name):
+		return "job failed here before"
+	case m.claimedBy != r.Spec.ID && now.Before(m.claimedUntil):
+		return "machine is being cleared for another job"
+	}
+	if _, failed := m.failures[r.Spec.ID]; failed {
+		return "job failed here before"
+	}
+	return ""
+}
+
+// fits counts how many of the tasks have room on m.
+func (a *Agent) fits(m *machine, need job.Need) (int, job.Need) {
+	t, ok := a.types()[m.typeName]
+	if !ok {
+		return 0, job.Need{}
+	}
+	free, known := m.room(job.Capacity(t))
+	if !known {
+		return 0, job.Need{}
+	}
+	return need.Count(free), free
+}
+
+// Sample draws owned machines without replacement until the share wanted has
+// passed the filters, and scores them (the paper's second sampling step). The
+// best of those go back, as many as the request can use.
+func (s *Service) Sample(r Request, reply *Sample) error {
+	a := s.agent
+	now := time.Now()
+	types := a.types()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	pool := a.shuffled()
+	wanted := r.wanted(len(pool))
+	room := newRoomCount(&r)
+	var found []Candidate
+	for _, m := range pool {
+		if len(found) >= wanted && room.enough() {
+			break
+		}
+		reply.Drawn++
+		n, free := a.fits(m, r.Spec.Need)
+		if n == 0 || a.unfit(m, &r, now) != "" {
+			continue
+		}
+		room.add(m.zone, n)
+		found = append(found, Candidate{
+			Machine: m.name, Host: a.member.Host, Rev: m.rev, Zone: m.zone, Fits: n,
+			Score: score(job.Capacity(types[m.typeName]), free, r.Spec.Need, m.imageState(r.Spec.Image), cheapness(types, &r.Spec, m.typeName, m.spot)),
+		})
+	}
+	reply.Exhausted = len(found) < wanted
+	reply.Candidates = best(found, &r)
+	a.counters.Samples++
+	a.counters.Drawn += uint64(reply.Drawn)
+	if reply.Exhausted {
+		a.counters.Exhausted++
+	}
+	return nil
+}
+
+// shuffled returns the owned machines in random order.
+func (a *Agent) shuffled() []*machine {
+	pool := make([]*machine, 0, len(a.machines))
+	for _, m := range a.machines {
+		if !m.gone {
+			pool = append(pool, m)
+		}
+	}
+	rand.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
+	return pool
+}
+
+// wanted is how many of n machines have to pass the filters before the draw may
+// end: the share N_p, and in any case some to choose from.
+func (r *Request) wanted(n int) int {
+	return min(n, max(1, r.Least, int(math.Ceil(r.Share*float64(n)))))
+}
+
+// roomCount counts for how many tasks machines have room: in all, or by zone
+// where it matters in which zone the room is.
+type roomCount struct {
+	tasks  int
+	byZone bool
+	zones  map[string]int
+	most   int
+}
+
+func newRoomCount(r *Request) *roomCount {
+	return &roomCount{tasks: r.Tasks, byZone: r.Spec.OneZone || r.Spec.Spread, zones: map[string]int{}}
+}
+
+// add counts n and returns how many there were before in the same place.
+func (c *roomCount) add(zone string, n int) int {
+	if !c.byZone {
+		zone = ""
+	}
+	before := c.zones[zone]
+	c.zones[zone] = before + n
+	c.most = max(c.most, before+n)
+	return before
+}
+
+func (c *roomCount) enough() bool { return c.most >= c.tasks }
+
+// best keeps the candidates of the highest scores that have room for all the
+// tasks, and some more for MultiBind to fall back to.
+func best(found []Candidate, r *Request) []Candidate {
+	slices.SortFunc(found, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Machine, b.Machine))
+	})
+	room := newRoomCount(r)
+	spare := map[string]int{}
+	return slices.DeleteFunc(found, func(c Candidate) bool {
+		if room.add(c.Zone, c.Fits) < r.Tasks {
+			return false
+		}
+		spare[c.Zone]++
+		return spare[c.Zone] > r.Spare
+	})
+}
+
+// score sums the Score plugins: the machine left fullest (0 to 100), the image
+// already there (100) or on its way, and how cheap the place is (0 to 150). The last leaves
+// dear machines idle, so that they are returned, and ordinary ones to jobs that
+// may not use spot machines.
+func score(capacity, free, need job.Need, image, cheap float64) float64 {
+	left := free.Add(need, -1)
+	full := 0.0
+	for _, p := range [][2]float64{{left.CPUs, capacity.CPUs}, {left.GPUs, capacity.GPUs}, {left.MemoryGB, capacity.MemoryGB}} {
+		if p[1] > 0 {
+			full = max(full, 1-p[0]/p[1])
+		}
+	}
+	return 100*full + 150*cheap + 100*image
+}
+
+// cheapness compares what a place for need costs on a machine with the least
+// that it costs on any the job may use: 1 for the cheapest, towards 0 for dear.
+func cheapness(types map[string]cloud.MachineType, spec *job.Spec, typeName string, spot bool) float64 {
+	cost := func(t cloud.MachineType, spot bool) float64 {
+		n := spec.Need.Count(job.Capacity(t))
+		if n == 0 || t.HourlyPrice(spot) <= 0 {
+			return math.Inf(1)
+		}
+		return t.HourlyPrice(spot) / float64(n)
+	}
+	least := math.Inf(1)
+	for _, t := range types {
+		if spec.AllowsType(t.Name) {
+			least = min(least, cost(t, spec.Spot))
+		}
+	}
+	if own := cost(types[typeName], spot); !math.IsInf(own, 1) && !math.IsInf(least, 1) {
+		return min(1, least/own)
+	}
+	return 0
+}
--- a/agent/service.go
+++ b/agent/service.go
@@ -4,12 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math"
-	"math/rand/v2"
-	"slices"
 	"time"
 
-	"robinstack/cloud"
 	"robinstack/job"
 	"robinstack/statekv"
 	"robinstack/worker"
@@ -21,128 +17,6 @@
 // NewService returns the net/rpc service of an agent.
 func NewService(a *Agent) *Service { return &Service{agent: a} }
 
-// unfit says why tasks like these cannot be placed on m, or nothing. It is the
-// Filter stage of sampling and the conflict check of the commit.
-func (a *Agent) unfit(m *machine, r *Request, now time.Time) string {
-	switch {
-	case m.gone || m.removing || !m.settled:
-		return "machine is not settled"
-	case m.draining || m.faulty || !m.noticeAt.IsZero():
-		return "machine is being emptied"
-	case m.silent:
-		return "machine is silent"
-	case m.rev > a.mirror.Rev():
-		return "machine was claimed just now"
-	case !r.Spec.Allows(m.typeName, m.zone, m.spot):
-		return "machine is not allowed for the job"
-	case r.Zones != nil && !slices.Contains(r.Zones, m.zone):
-		return "zone is not open to the job"
-	case slices.Contains(r.Avoid, m.name):
-		return "job failed here before"
-	case m.claimedBy != r.Spec.ID && now.Before(m.claimedUntil):
-		return "machine is being cleared for another job"
-	}
-	if _, failed := m.failures[r.Spec.ID]; failed {
-		return "job failed here before"
-	}
-	return ""
-}
-
-// fits counts how many of the tasks have room on m.
-func (a *Agent) fits(m *machine, need job.Need) (int, job.Need) {
-	t, ok := a.types()[m.typeName]
-	if !ok {
-		return 0, job.Need{}
-	}
-	free, known := m.room(job.Capacity(t))
-	if !known {
-		return 0, job.Need{}
-	}
-	return need.Count(free), free
-}
-
-// Sample draws owned machines without replacement until the share wanted has
-// passed the filters, and scores them (the paper's second sampling step).
-func (s *Service) Sample(r Request, reply *Sample) error {
-	a := s.agent
-	now := time.Now()
-	types := a.types()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	pool := make([]*machine, 0, len(a.machines))
-	for _, m := range a.machines {
-		if !m.gone {
-			pool = append(pool, m)
-		}
-	}
-	rand.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
-	wanted := max(1, int(math.Ceil(r.Share*float64(len(pool)))))
-	room := 0
-	for _, m := range pool {
-		if len(reply.Candidates) >= wanted && room >= r.Tasks {
-			break
-		}
-		reply.Drawn++
-		if a.unfit(m, &r, now) != "" {
-			continue
-		}
-		n, free := a.fits(m, r.Spec.Need)
-		if n == 0 {
-			continue
-		}
-		room += n
-		image := m.imageState(r.Spec.Image)
-		reply.Candidates = append(reply.Candidates, Candidate{
-			Machine: m.name, Host: a.member.Host, Rev: m.rev, Zone: m.zone, Fits: n,
-			Score: score(job.Capacity(types[m.typeName]), free, r.Spec.Need, image, cheapness(types, &r.Spec, m.typeName, m.spot)),
-		})
-	}
-	reply.Exhausted = len(reply.Candidates) < wanted
-	a.counters.Samples++
-	a.counters.Drawn += uint64(reply.Drawn)
-	if reply.Exhausted {
-		a.counters.Exhausted++
-	}
-	return nil
-}
-
-// score sums the Score plugins: the machine left fullest (0 to 100), the image
-// already there (100) or on its way, and how cheap the place is (0 to 150). The last leaves
-// dear machines idle, so that they are returned, and ordinary ones to jobs that
-// may not use spot machines.
-func score(capacity, free, need job.Need, image, cheap float64) float64 {
-	left := free.Add(need, -1)
-	full := 0.0
-	for _, p := range [][2]float64{{left.CPUs, capacity.CPUs}, {left.GPUs, capacity.GPUs}, {left.MemoryGB, capacity.MemoryGB}} {
-		if p[1] > 0 {
-			full = max(full, 1-p[0]/p[1])
-		}
-	}
-	return 100*full + 150*cheap + 100*image
-}
-
-// cheapness compares what a place for need costs on a machine with the least
-// that it costs on any the job may use: 1 for the cheapest, towards 0 for dear.
-func cheapness(types map[string]cloud.MachineType, spec *job.Spec, typeName string, spot bool) float64 {
-	cost := func(t cloud.MachineType, spot bool) float64 {
-		n := spec.Need.Count(job.Capacity(t))
-		if n == 0 || t.HourlyPrice(spot) <= 0 {
-			return math.Inf(1)
-		}
-		return t.HourlyPrice(spot) / float64(n)
-	}
-	least := math.Inf(1)
-	for _, t := range types {
-		if spec.AllowsType(t.Name) {
-			least = min(least, cost(t, spec.Spot))
-		}
-	}
-	if own := cost(types[typeName], spot); !math.IsInf(own, 1) && !math.IsInf(least, 1) {
-		return min(1, least/own)
-	}
-	return 0
-}
-
 // Commit reserves room for tasks on a machine, checks the latest report and
 // the reservations, and sends the starts (the paper's commit pipeline).
 func (s *Service) Commit(r CommitRequest, reply *CommitReply) error {
@@ -190,7 +64,7 @@
 			}
 			spec := r.Spec
 			t = &task{ref: ref, id: key.id, slot: r.Slot, spec: &spec, state: stateHeld}
-			m.tasks[key] = t
+			m.put(key, t)
 		}
 		if t.state != stateHeld {
 			// A repeated request: the entry shows what became of it.
@@ -268,16 +142,16 @@
 		}
 		switch {
 		case t.state == stateHeld:
-			delete(m.tasks, key)
+			m.drop(key)
 			a.touch(m)
 		case t.state == Starting && !t.sent:
 			t.settle(Refused)
-			delete(m.tasks, key)
+			m.drop(key)
 			a.touch(m)
 		case item.Forget:
 			t.forget = true
 		case !t.stop || item.Grace < t.grace:
-			t.stop, t.grace, t.stopSent = true, item.Grace, time.Time{}
+			t.stop, t.grace, t.stopFirst, t.stopSent = true, item.Grace, time.Time{}, time.Time{}
 		}
 		m.wake()
 	}
@@ -296,7 +170,7 @@
 		for _, m := range a.machines {
 			if t := m.tasks[key]; t != nil {
 				if t.state == stateHeld {
-					delete(m.tasks, key)
+					m.drop(key)
 				} else {
 					reply.Present[i] = true
 				}
@@ -360,7 +234,7 @@
 
 func (m *machine) entry(host string, now time.Time) Entry {
 	e := Entry{Machine: m.name, Host: host, Rev: m.rev, Ver: m.ver, Type: m.typeName, Zone: m.zone, Spot: m.spot,
-		Settled: m.settled, Draining: m.draining, Silent: m.silent, Faulty: m.faulty, Gone: m.gone, Notice: !m.noticeAt.IsZero()}
+		Settled: m.settled, Draining: m.draining || m.removing, Silent: m.silent, Faulty: m.faulty, Gone: m.gone, Notice: !m.noticeAt.IsZero()}
 	if !m.idleSince.IsZero() {
 		e.Idle = max(time.Millisecond, now.Sub(m.idleSince))
 	}
@@ -405,45 +279,90 @@
 }
 
 // Removed tells the agent that the cloud has deleted machines: their tasks are
-// gone, and their keys with them.
+// gone. Their keys follow when the state service has room for it.
 func (s *Service) Removed(r MachinesRequest, reply *MachinesReply) error {
 	a := s.agent
-	var when []statekv.Cond
-	var then []statekv.Op
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	for _, name := range r.Names {
 		m := a.machines[name]
-		if m == nil || m.gone {
+		if m == nil || m.gone || m.removing {
 			continue
 		}
-		m.removing = true
+		m.removing, m.settled = true, true
 		for k, t := range m.tasks {
 			t.settle(Refused)
-			delete(m.tasks, k)
+			m.drop(k)
 		}
 		a.touch(m)
-		when = append(when, statekv.Cond{Key: statekv.MachinePrefix + name, Rev: m.rev})
-		then = append(then, statekv.Op{Delete: statekv.MachinePrefix + name})
 		reply.Names = append(reply.Names, name)
 	}
-	a.mu.Unlock()
-	for i, name := range reply.Names {
-		ctx, cancel := context.WithTimeout(a.runContext(), 3*time.Second)
-		_, err := a.member.Write(ctx, when[i:i+1], then[i:i+1])
-		cancel()
-		if err != nil && !statekv.IsConflict(err) {
-			return err
+	return nil
+}
+
+// runRemovals removes the keys of deleted machines, many at a time.
+func (a *Agent) runRemovals(ctx context.Context) {
+	tick := time.NewTicker(500 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
 		}
+		var batch []*machine
 		a.mu.Lock()
-		if m := a.machines[name]; m != nil && !m.gone {
+		for _, m := range a.machines {
+			if m.removing && !m.gone && len(batch) < min(8, a.settings.State.TxnOps) {
+				batch = append(batch, m)
+			}
+		}
+		a.mu.Unlock()
+		if len(batch) == 0 || !a.store.Room(statekv.Chores, len(batch)) {
+			continue
+		}
+		err := a.removeKeys(ctx, batch)
+		if statekv.IsConflict(err) {
+			// One of them has another owner by now: each for itself.
+			for _, m := range batch {
+				if err = a.removeKeys(ctx, []*machine{m}); statekv.IsConflict(err) {
+					a.markGone([]*machine{m})
+				}
+			}
+		}
+		if err != nil && !statekv.IsConflict(err) {
+			slog.Debug("removing keys of machines", "machines", len(batch), "err", err)
+		}
+	}
+}
+
+func (a *Agent) removeKeys(ctx context.Context, batch []*machine) error {
+	var when []statekv.Cond
+	var then []statekv.Op
+	for _, m := range batch {
+		when = append(when, statekv.Cond{Key: statekv.MachinePrefix + m.name, Rev: m.rev})
+		then = append(then, statekv.Op{Delete: statekv.MachinePrefix + m.name})
+	}
+	tctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	_, err := a.member.Write(tctx, when, then)
+	if err == nil {
+		a.markGone(batch)
+	}
+	return err
+}
+
+func (a *Agent) markGone(batch []*machine) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, m := range batch {
+		if a.machines[m.name] == m && !m.gone {
 			m.gone, m.heard = true, time.Now()
 			close(m.quit)
 			a.touch(m)
 		}
-		a.mu.Unlock()
-		slog.Info("machine gone", "machine", name)
 	}
-	return nil
+	slog.Info("machines gone", "machines", len(batch), "first", batch[0].name)
 }
 
 // Snapshot returns the agent's counters and machines, for the status page.
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -15,6 +15,8 @@
 	Avoid []string // machines on which the job failed
 	Tasks int      // tasks that look for a place
 	Share float64  // share of the owned machines to sample (the paper's N_p)
+	Least int      // and how many at least, if there are so many
+	Spare int      // candidates to return beyond those that the tasks need
 }
 
 // Candidate is a machine that passed the filters, with its score.
--- a/cmd/robinstack/main.go
+++ b/cmd/robinstack/main.go
@@ -63,7 +63,10 @@
 			}
 			startLog()
 			if settings.MemoryBytes > 0 {
-				debug.SetMemoryLimit(settings.MemoryBytes * 7 / 10)
+				// Processor time is scarcer than memory: collect seldom while
+				// there is room, and as often as needed near the limit.
+				debug.SetMemoryLimit(settings.MemoryBytes * 6 / 10)
+				debug.SetGCPercent(400)
 			}
 			return controller.New(settings, pol).Run(cmd.Context())
 		},
--- a/config/config.go
+++ b/config/config.go
@@ -226,6 +226,13 @@
 	return min(2*time.Second, s.HoldTime()/4)
 }
 
+// WatchPause is the least time between two watches of one controller. In a
+// large fleet something changes all the time, and every watch counts as a
+// request: all controllers' watches together take an eighth of what there is.
+func (s *Settings) WatchPause() time.Duration {
+	return min(s.HoldTime()/8, Seconds(8*float64(max(1, s.Controllers))/s.State.RPS))
+}
+
 // GoneAfter is the time after which a worker that nobody answers any more has
 // ended its tasks, clock drift and delivery of the last answer included.
 func (s *Settings) GoneAfter() time.Duration {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -32,7 +32,7 @@
 type Controller struct {
 	settings  *config.Settings
 	policy    *policy.Policy
-	store     statekv.Store
+	store     *statekv.Client
 	cloud     cloud.API
 	workers   worker.Commander
 	catalogue *cloud.Catalogue
@@ -41,10 +41,9 @@
 
 // New returns a controller that reaches the outside systems over the network.
 func New(settings *config.Settings, pol *policy.Policy) *Controller {
-	share := 1 / float64(max(1, settings.Controllers))
 	c := &Controller{
 		settings: settings, policy: pol, catalogue: &cloud.Catalogue{},
-		store:   statekv.NewClient(settings.StateAddress, 0.85*share*settings.State.RPS, 0.9*share*settings.State.WriteRPS),
+		store:   statekv.NewClient(settings.StateAddress, 0.75*settings.State.RPS, 0.9*settings.State.WriteRPS, settings.Controllers),
 		cloud:   cloud.NewClient(settings.CloudAddress, settings.CloudRPS/2),
 		workers: worker.NewClient(),
 	}
@@ -83,7 +82,7 @@
 		pl *placer.Placer
 		st *steward.Steward
 	)
-	mirror := statekv.NewMirror(c.store, statekv.FleetPrefix, statekv.RootPrefix, c.settings.WatchTime(), func(events []statekv.Event) {
+	mirror := statekv.NewMirror(c.store, statekv.FleetPrefix, statekv.RootPrefix, c.settings.WatchTime(), c.settings.WatchPause(), func(events []statekv.Event) {
 		if events == nil {
 			go pl.Recheck(ctx)
 			return
@@ -96,6 +95,7 @@
 			}
 		}
 	})
+	mirror.Parse = agent.ParseKey
 	if err := mirror.Load(ctx); err != nil {
 		return fmt.Errorf("reading the fleet's keys: %w", err)
 	}
@@ -139,6 +139,7 @@
 	}
 	var duties sync.WaitGroup
 	duties.Go(func() { mirror.Run(ctx) })
+	duties.Go(func() { c.share(ctx, member) })
 	duties.Go(func() { peer.Serve(ctx, ln, server) })
 	lost := make(chan error, 1)
 	duties.Go(func() { lost <- member.Keep(ctx) })
@@ -156,3 +157,20 @@
 	duties.Wait()
 	return err
 }
+
+// share divides what the state service allows among the controllers that live:
+// those that take over a dead one's machines need its share for it.
+func (c *Controller) share(ctx context.Context, member *statekv.Member) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		// Half of the controllers are counted in any case: those that come
+		// back do so together.
+		c.store.Share(max(len(member.AliveHosts()), (c.settings.Controllers+1)/2))
+	}
+}
--- a/fakes/state.go
+++ b/fakes/state.go
@@ -185,3 +185,6 @@
 		}
 	}
 }
+
+// Room says that changes may always be made.
+func (s *State) Room(statekv.Kind, int) bool { return true }
--- a/placer/events.go
+++ b/placer/events.go
@@ -173,6 +173,7 @@
 		return
 	}
 	ts.stopping, ts.grace, ts.stopSent = true, grace, time.Time{}
+	p.stops[agent.TaskRef{Job: j.spec.ID, Index: i, Attempt: ts.attempt}] = true
 }
 
 // stopJobTask stops a task in good order: of a gang, all together.
@@ -251,14 +252,14 @@
 // stopping lists the tasks that are being stopped.
 func (p *Placer) stopping() map[agent.TaskRef]*taskState {
 	out := map[agent.TaskRef]*taskState{}
-	for _, refs := range p.on {
-		for ref := range refs {
-			if j := p.jobs[ref.Job]; j != nil {
-				if ts := &j.tasks[ref.Index]; ts.status == placed && ts.stopping && ts.attempt == ref.Attempt {
-					out[ref] = ts
-				}
+	for ref := range p.stops {
+		if j := p.jobs[ref.Job]; j != nil {
+			if ts := &j.tasks[ref.Index]; ts.status == placed && ts.stopping && ts.attempt == ref.Attempt {
+				out[ref] = ts
+				continue
 			}
 		}
+		delete(p.stops, ref)
 	}
 	return out
 }
--- a/placer/flush.go
+++ b/placer/flush.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"robinstack/job"
@@ -14,25 +15,43 @@
 // folded into its record.
 const foldEvery = time.Second
 
-// flush records what has finished: whole jobs at once, tasks in batches.
+// flush records what has finished: whole jobs at once, tasks in batches, the
+// oldest first and only as many as leave room for what cannot wait. Until then
+// they stay in their workers' reports, so nothing is lost.
 func (p *Placer) flush(ctx context.Context) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var folds []*jobState
 	n := 0
-	for id, j := range p.jobs {
-		due := j.over == job.Done || len(j.dirty) > 0 && now.Sub(j.dirtyAt) > foldEvery
-		if !due || j.recorded || j.flushing {
-			continue
+	start := func(j *jobState) {
+		n++
+		j.flushing = true
+		go p.flushJob(ctx, j.spec.ID, j)
+	}
+	for _, j := range p.jobs {
+		switch {
+		case j.recorded || j.flushing:
+		case j.over == job.Done:
+			if n < maxFlushes {
+				start(j)
+			}
+		case len(j.dirty) > 0 && now.Sub(j.dirtyAt) > foldEvery:
+			folds = append(folds, j)
 		}
-		if n++; n > 8 {
+	}
+	slices.SortFunc(folds, func(a, b *jobState) int { return a.dirtyAt.Compare(b.dirtyAt) })
+	for _, j := range folds {
+		if n >= maxFlushes || !p.store.Room(statekv.Chores, len(j.dirty)) {
 			break
 		}
-		j.flushing = true
-		go p.flushJob(ctx, id, j)
+		start(j)
 	}
 }
 
+// maxFlushes bounds the writes that one look starts.
+const maxFlushes = 8
+
 func (p *Placer) flushJob(ctx context.Context, id string, j *jobState) {
 	p.mu.Lock()
 	s := p.slots[j.slot]
--- a/placer/place.go
+++ b/placer/place.go
@@ -146,7 +146,7 @@
 		}
 	}
 	req := agent.Request{Spec: *spec, Slot: j.slot, Epoch: s.epoch, Avoid: slices.Clone(j.avoid), Tasks: len(indices),
-		Share: p.policy.SampleMachines, Zones: openZones(spec, others, p.settings.Zones)}
+		Share: p.policy.SampleMachines, Least: p.policy.SampleLeast, Spare: p.policy.MultiBind, Zones: openZones(spec, others, p.settings.Zones)}
 	p.mu.Unlock()
 
 	candidates := p.sample(ctx, req)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -104,6 +104,8 @@
 	slots    map[string]*slotState
 	home     string // slot that takes new jobs
 	on       map[string]map[agent.TaskRef]bool
+	stops    map[agent.TaskRef]bool // tasks that are being stopped
+	others   map[string]bool        // open jobs that other slots look after
 	forgets  []agent.StopItem
 	releases []agent.TaskRef
 	fullAt   map[shapeKey]time.Time
@@ -127,6 +129,7 @@
 func New(settings *config.Settings, pol *policy.Policy, store statekv.Store, mirror *statekv.Mirror, member *statekv.Member, call agent.Caller) *Placer {
 	return &Placer{settings: settings, policy: pol, store: store, mirror: mirror, member: member, call: call,
 		jobs: map[string]*jobState{}, slots: map[string]*slotState{}, on: map[string]map[agent.TaskRef]bool{},
+		stops: map[agent.TaskRef]bool{}, others: map[string]bool{},
 		fullAt: map[shapeKey]time.Time{}, gone: map[string]deleted{}, kick: make(chan struct{}, 1)}
 }
 
@@ -172,11 +175,16 @@
 		case <-ctx.Done():
 		case <-tick.C:
 		case <-p.kick:
+			time.Sleep(dispatchPause)
 		}
 	}
 	duties.Wait()
 }
 
+// dispatchPause lets what wakes the queue gather: under load something does
+// all the time, and every look goes through all jobs.
+const dispatchPause = 10 * time.Millisecond
+
 func (p *Placer) wake() {
 	select {
 	case p.kick <- struct{}{}:
@@ -190,7 +198,7 @@
 	if !p.member.Certain() {
 		return
 	}
-	keys := p.mirror.Prefix(statekv.SlotPrefix)
+	keys := p.mirror.Dir(statekv.SlotPrefix)
 	for _, kv := range keys {
 		id := strings.TrimPrefix(kv.Key, statekv.SlotPrefix)
 		var h statekv.Holder
@@ -322,7 +330,7 @@
 	if len(open) == 0 || p.feed == nil {
 		return
 	}
-	keys := p.mirror.Prefix(statekv.MachinePrefix)
+	keys := p.mirror.Dir(statekv.MachinePrefix)
 	for id, epoch := range open {
 		left := 0
 		for _, kv := range keys {
@@ -390,6 +398,7 @@
 	if e.Delete != "" {
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		delete(p.others, id)
 		p.gone[id] = deleted{rev: e.Rev, at: time.Now()}
 		for old, d := range p.gone {
 			if len(p.gone) > 2000 && time.Since(d.at) > time.Minute {
@@ -401,18 +410,25 @@
 		}
 		return
 	}
+	p.mu.Lock()
+	known := p.jobs[id] != nil || p.others[id]
+	p.mu.Unlock()
+	if known {
+		return
+	}
 	rec, err := job.ParseRecord(e.Value)
 	if err != nil {
 		slog.Error("job record", "key", e.Key(), "err", err)
 		return
 	}
 	p.mu.Lock()
-	_, known := p.jobs[id]
 	s := p.slots[rec.Slot]
-	p.mu.Unlock()
-	if known {
-		return
+	if s == nil {
+		// Its later changes are folds, which need not be read here. A slot
+		// that is taken over is loaded from a list.
+		p.others[id] = true
 	}
+	p.mu.Unlock()
 	if s != nil && e.Rev > s.epoch && rec.Done == "" {
 		p.Accepted(rec, e.Rev)
 	}
@@ -440,6 +456,7 @@
 // Recheck reads the records of all jobs after a gap in the watch.
 func (p *Placer) Recheck(ctx context.Context) {
 	p.mu.Lock()
+	clear(p.others)
 	ids := make([]string, 0, len(p.jobs))
 	for id := range p.jobs {
 		ids = append(ids, id)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,6 +22,7 @@
 type Policy struct {
 	SampleControllers float64       // share of the controllers asked for samples (C_p)
 	SampleMachines    float64       // share of its machines that each samples (N_p)
+	SampleLeast       int           // machines that each samples at least, if it has as many
 	SampleTimeout     time.Duration // how long sampling may take
 	MultiBind         int           // candidates tried in the commit phase (m)
 	RetryAfter        time.Duration // pause before a job without a place samples again
@@ -34,7 +35,7 @@
 
 // Default returns the policy that holds where operators set nothing.
 func Default() *Policy {
-	return &Policy{SampleControllers: 1, SampleMachines: 1, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 40 * time.Second, WarmGangs: 2, Preempt: true}
+	return &Policy{SampleControllers: 1, SampleMachines: 0.04, SampleLeast: 48, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 40 * time.Second, WarmGangs: 2, Preempt: true}
 }
 
 // jobEnv is what queue_order can refer to.
@@ -62,6 +63,7 @@
 var numbers = map[string]number{
 	"sample_controllers": {0.01, 1, func(p *Policy, v float64) { p.SampleControllers = v }},
 	"sample_machines":    {0.01, 1, func(p *Policy, v float64) { p.SampleMachines = v }},
+	"sample_least":       {1, 10000, func(p *Policy, v float64) { p.SampleLeast = int(v) }},
 	"sample_timeout_s":   {0.05, 10, func(p *Policy, v float64) { p.SampleTimeout = seconds(v) }},
 	"multibind":          {1, 20, func(p *Policy, v float64) { p.MultiBind = int(v) }},
 	"retry_s":            {0.1, 60, func(p *Policy, v float64) { p.RetryAfter = seconds(v) }},
--- a/statekv/client.go
+++ b/statekv/client.go
@@ -45,6 +45,8 @@
 	Key   string          `json:"path"`
 	Value json.RawMessage `json:"data"`
 	Rev   uint64          `json:"key_rev"`
+
+	Parsed any `json:"-"` // what the mirror's Parse made of the value
 }
 
 // Cond requires that a key has a revision; 0 means that it does not exist.
@@ -99,8 +101,25 @@
 	Renew(ctx context.Context, lease uint64) error
 	Revoke(ctx context.Context, lease uint64) error
 	Follow(ctx context.Context, prefix string, since uint64, block time.Duration) (News, error)
+
+	// Room reports whether n changes of a kind that can wait may be made now,
+	// and counts them if so: submissions, cancellations and ends of jobs must
+	// not queue behind hundreds of machines.
+	Room(kind Kind, n int) bool
 }
 
+// Kind is a kind of change that can wait.
+type Kind int
+
+// Claims keep work alive and go before Chores (folding, removing keys).
+const (
+	Claims Kind = iota
+	Chores
+)
+
+// shares are the parts of a controller's changes that each kind may use.
+var shares = [...]float64{Claims: 0.6, Chores: 0.3}
+
 // Client talks to the state service over HTTP and keeps this controller's
 // share of the service's limits.
 type Client struct {
@@ -108,17 +127,44 @@
 	http   *httpjson.Client
 	reads  *rate.Limiter
 	writes *rate.Limiter
+	kinds  [len(shares)]*rate.Limiter
+
+	requests, changes float64 // per second, for all controllers together
 }
 
-// NewClient returns a client that uses at most the given requests and changes
-// per second, lease renewals and watches not counted: those always go out.
-func NewClient(address string, requests, changes float64) *Client {
-	return &Client{
-		base:   "http://" + address,
-		http:   httpjson.New(1500*time.Millisecond, 64),
-		reads:  rate.NewLimiter(rate.Limit(requests), int(max(8, requests/2))),
-		writes: rate.NewLimiter(rate.Limit(changes), int(max(26, changes))),
+// NewClient returns a client that, with its like on the other controllers, uses
+// at most the given requests and changes per second, lease renewals and watches
+// not counted: those always go out.
+func NewClient(address string, requests, changes float64, controllers int) *Client {
+	c := &Client{
+		base: "http://" + address, http: httpjson.New(1500*time.Millisecond, 64),
+		reads: rate.NewLimiter(1, 1), writes: rate.NewLimiter(1, 1), requests: requests, changes: changes,
 	}
+	for k := range c.kinds {
+		c.kinds[k] = rate.NewLimiter(1, 24)
+	}
+	c.Share(controllers)
+	return c
+}
+
+// Share has the client use its share among so many controllers.
+func (c *Client) Share(controllers int) {
+	requests, changes := c.requests/float64(max(1, controllers)), c.changes/float64(max(1, controllers))
+	if c.reads.Limit() == rate.Limit(requests) {
+		return
+	}
+	c.reads.SetLimit(rate.Limit(requests))
+	c.reads.SetBurst(int(max(8, requests/2)))
+	c.writes.SetLimit(rate.Limit(changes))
+	c.writes.SetBurst(int(max(26, changes)))
+	for k, share := range shares {
+		c.kinds[k].SetLimit(rate.Limit(share * changes))
+	}
+}
+
+// Room reports whether n changes of a kind may be made now.
+func (c *Client) Room(kind Kind, n int) bool {
+	return c.kinds[kind].AllowN(time.Now(), min(n, c.kinds[kind].Burst()))
 }
 
 func (c *Client) send(ctx context.Context, method, path string, in any, extra time.Duration) (httpjson.Response, error) {
--- a/statekv/member.go
+++ b/statekv/member.go
@@ -110,7 +110,7 @@
 // AliveHosts lists the controllers that are alive, in order.
 func (m *Member) AliveHosts() []string {
 	var hosts []string
-	for _, kv := range m.mirror.Prefix(NodePrefix) {
+	for _, kv := range m.mirror.Dir(NodePrefix) {
 		hosts = append(hosts, kv.Key[len(NodePrefix):])
 	}
 	sort.Strings(hosts)
--- a/statekv/mirror.go
+++ b/statekv/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"strings"
@@ -17,26 +18,46 @@
 	keep   string // prefix of the keys that are kept
 	follow string // prefix of the changes that are followed
 	block  time.Duration
+	pause  time.Duration // least time between two watches: each counts as a request
 	onNews func([]Event)
 
+	// Parse reads a kept value once, so that those who look through many keys
+	// need not; nil reads nothing. Set it before Load.
+	Parse func(key string, value json.RawMessage) any
+
 	mu     sync.Mutex
 	rev    uint64
-	keys   map[string]KV
-	fresh  time.Time // when the request that last showed the present was sent
+	dirs   map[string]map[string]KV // by the key's part up to the last slash
+	fresh  time.Time                // when the request that last showed the present was sent
 	loaded bool
 	moved  chan struct{} // closed and replaced whenever rev grows
 }
 
-// NewMirror returns a mirror whose watches wait for at most block; onNews, called from one goroutine, gets every
-// change after the first load and, after a gap in the watch, nil.
-func NewMirror(store Store, keep, follow string, block time.Duration, onNews func([]Event)) *Mirror {
-	return &Mirror{store: store, keep: keep, follow: follow, block: block, onNews: onNews, keys: map[string]KV{}, moved: make(chan struct{})}
+// NewMirror returns a mirror whose watches wait for at most block and are at
+// least pause apart; onNews, called from one goroutine, gets every change after
+// the first load and, after a gap in the watch, nil.
+func NewMirror(store Store, keep, follow string, block, pause time.Duration, onNews func([]Event)) *Mirror {
+	return &Mirror{store: store, keep: keep, follow: follow, block: block, pause: pause, onNews: onNews, dirs: map[string]map[string]KV{}, moved: make(chan struct{})}
+}
+
+func dirOf(key string) string { return key[:strings.LastIndexByte(key, '/')+1] }
+
+// put stores a key in dirs, with its value read.
+func (m *Mirror) put(dirs map[string]map[string]KV, kv KV) {
+	if m.Parse != nil {
+		kv.Parsed = m.Parse(kv.Key, kv.Value)
+	}
+	dir := dirOf(kv.Key)
+	if dirs[dir] == nil {
+		dirs[dir] = map[string]KV{}
+	}
+	dirs[dir][kv.Key] = kv
 }
 
 // Load reads the kept keys anew.
 func (m *Mirror) Load(ctx context.Context) error {
 	sent := time.Now()
-	keys := map[string]KV{}
+	dirs := map[string]map[string]KV{}
 	var rev uint64
 	for after := ""; ; {
 		p, err := m.store.List(ctx, m.keep, after)
@@ -49,7 +70,7 @@
 			rev = p.Rev
 		}
 		for _, kv := range p.Items {
-			keys[kv.Key] = kv
+			m.put(dirs, kv)
 			after = kv.Key
 		}
 		if !p.More || len(p.Items) == 0 {
@@ -58,7 +79,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.keys, m.rev, m.fresh, m.loaded = keys, rev, sent, true
+	m.dirs, m.rev, m.fresh, m.loaded = dirs, rev, sent, true
 	close(m.moved)
 	m.moved = make(chan struct{})
 	return nil
@@ -90,6 +111,10 @@
 		if len(news.Events) > 0 {
 			m.onNews(news.Events)
 		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(m.pause - time.Since(sent)):
+		}
 	}
 }
 
@@ -98,13 +123,13 @@
 	defer m.mu.Unlock()
 	for _, e := range news.Events {
 		key := e.Key()
-		if !strings.HasPrefix(key, m.keep) || m.keys[key].Rev >= e.Rev {
+		if !strings.HasPrefix(key, m.keep) || m.dirs[dirOf(key)][key].Rev >= e.Rev {
 			continue
 		}
 		if e.Set != "" {
-			m.keys[key] = KV{Key: key, Value: e.Value, Rev: e.Rev}
+			m.put(m.dirs, KV{Key: key, Value: e.Value, Rev: e.Rev})
 		} else {
-			delete(m.keys, key)
+			delete(m.dirs[dirOf(key)], key)
 		}
 	}
 	m.fresh = sent
@@ -119,19 +144,18 @@
 func (m *Mirror) Get(key string) (KV, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	kv, ok := m.keys[key]
+	kv, ok := m.dirs[dirOf(key)][key]
 	return kv, ok
 }
 
-// Prefix returns the keys under prefix as last seen.
-func (m *Mirror) Prefix(prefix string) []KV {
+// Dir returns the keys directly under a prefix that ends with a slash, as last
+// seen.
+func (m *Mirror) Dir(prefix string) []KV {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []KV
-	for k, kv := range m.keys {
-		if strings.HasPrefix(k, prefix) {
-			out = append(out, kv)
-		}
+	out := make([]KV, 0, len(m.dirs[prefix]))
+	for _, kv := range m.dirs[prefix] {
+		out = append(out, kv)
 	}
 	return out
 }
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"robinstack/agent"
@@ -26,7 +28,8 @@
 	deleted  map[string]time.Time
 	requests int
 	gangs    map[string]gangClass // classes of gangs seen lately
-	retry    *cloud.Rental        // a rental without an answer, to be repeated under its name
+	retry    []cloud.Rental       // rentals without an answer, to be repeated under their names
+	resumAt  time.Time
 }
 
 // gangClass is a class of gangs for which room is kept ready.
@@ -114,6 +117,13 @@
 	}
 }
 
+// A rental may ask for at most maxHire machines; maxRentals are at work at a
+// time, which leaves room for lists and returns within the cloud's limit.
+const (
+	maxHire    = 50
+	maxRentals = 4
+)
+
 // runFleet rents and returns machines while this controller is steward.
 func (s *Steward) runFleet(ctx context.Context) {
 	tick := time.NewTicker(time.Second)
@@ -128,9 +138,11 @@
 			continue
 		}
 		rentals, returns, deletes := s.planFleet(time.Now())
+		var calls sync.WaitGroup
 		for _, r := range rentals {
-			s.rent(ctx, r)
+			calls.Go(func() { s.rent(ctx, r) })
 		}
+		calls.Wait()
 		s.giveBack(ctx, returns)
 		s.remove(ctx, deletes)
 	}
@@ -150,6 +162,9 @@
 	for _, e := range entries {
 		present[e.Machine] = true
 		delete(f.booting, e.Machine)
+		if !f.deleted[e.Machine].IsZero() {
+			continue // its key is still to be removed
+		}
 		if lost := s.isLost(&e, now); lost != "" {
 			slog.Info("machine lost", "machine", e.Machine, "why", lost)
 			deletes = append(deletes, e.Machine)
@@ -183,11 +198,15 @@
 			delete(f.silent, name)
 		}
 	}
-	for name := range s.held {
+	for name := range s.ledger.held {
 		if !present[name] {
-			delete(s.held, name)
+			s.ledger.drop(name)
 		}
 	}
+	if now.Sub(f.resumAt) > 10*time.Second {
+		f.resumAt = now
+		s.ledger.resum()
+	}
 	for name, b := range f.booting {
 		if _, owned := s.mirror.Get(statekv.MachinePrefix + name); owned {
 			// It is up; its owner's entry just has not come yet. To a new
@@ -219,14 +238,19 @@
 		}
 	}
 	demands = append(s.withinLimits(demands), s.warmDemand(now)...)
-	if f.retry != nil {
-		rentals = append(rentals, *f.retry)
-	}
-	rent := packing(demands, bins, offers(types, func(p pool) bool { return now.Before(f.shut[p]) }), 20)
-	if f.retry == nil {
-		for p, n := range rent {
+	rentals = append(rentals, f.retry...)
+	f.retry = nil
+	rent := packing(demands, bins, offers(types, func(p pool) bool { return now.Before(f.shut[p]) }), maxRentals*maxHire)
+	for p, n := range rent {
+		// What a repeated rental may bring yet is not rented once more.
+		for _, r := range rentals {
+			if p == (pool{r.Type, r.Zone, r.Spot}) {
+				n -= r.Count
+			}
+		}
+		for ; n > 0 && len(rentals) < maxRentals; n -= maxHire {
 			f.requests++
-			rentals = append(rentals, cloud.Rental{Request: fmt.Sprintf("r-%d-%d", s.epoch, f.requests), Type: p.typeName, Zone: p.zone, Spot: p.spot, Count: n})
+			rentals = append(rentals, cloud.Rental{Request: fmt.Sprintf("r-%d-%d", s.epoch, f.requests), Type: p.typeName, Zone: p.zone, Spot: p.spot, Count: min(n, maxHire)})
 		}
 	}
 	for _, b := range bins {
@@ -256,6 +280,7 @@
 // withinLimits cuts the demand down to what the teams' limits let run.
 func (s *Steward) withinLimits(demands []Demand) []Demand {
 	use, _ := s.usage()
+	use = maps.Clone(use)
 	for i := range demands {
 		d := &demands[i]
 		team, limited := s.settings.Teams[d.Spec.Team], s.settings.Limited(d.Spec.Team)
@@ -312,13 +337,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := &s.fleet
-	f.retry = nil
 	switch {
 	case errors.Is(err, cloud.ErrNoCapacity):
 		f.shut[p] = now.Add(10 * time.Second)
 	case err != nil:
 		slog.Info("rental unanswered", "request", r.Request, "err", err)
-		f.retry = &r
+		f.retry = append(f.retry, r)
 		return
 	case len(names) < r.Count:
 		f.shut[p] = now.Add(10 * time.Second)
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -54,47 +54,132 @@
 	return out
 }
 
-// packing puts waiting tasks into bins and says what to rent for the rest.
-// bins are marked used where something was put.
-func packing(demands []Demand, bins []*bin, onOffer []offer, most int) map[pool]int {
-	slices.SortStableFunc(demands, func(a, b Demand) int {
-		return cmp.Or(cmp.Compare(b.Spec.Priority(), a.Spec.Priority()), cmp.Compare(b.Spec.GPUs*1e6+b.AgeS, a.Spec.GPUs*1e6+a.AgeS))
-	})
-	rent := map[pool]int{}
-	total := 0
-	for _, d := range demands {
-		k := rounds(&d, time.Minute)
-		left := (d.Waiting + k - 1) / k
-		// The fullest bin first, as placing does it.
-		slices.SortStableFunc(bins, func(a, b *bin) int {
-			return cmp.Or(cmp.Compare(d.Spec.Count(a.free), d.Spec.Count(b.free)), cmp.Compare(a.name, b.name))
-		})
-		for _, b := range bins {
+// packer puts waiting tasks into bins. It keeps the bins by their free GPUs, so
+// that a task of a few looks at the fullest bins first, as placing does it, and
+// full ones are not looked at again for each job.
+type packer struct {
+	byGPUs [][]*bin
+	offers []offer
+	rent   map[pool]int
+	left   int // machines that may still be rented
+}
+
+func gpuBucket(free job.Need) int { return max(0, min(64, int(free.GPUs+1e-9))) }
+
+func newPacker(bins []*bin, onOffer []offer, most int) *packer {
+	p := &packer{byGPUs: make([][]*bin, 65), offers: onOffer, rent: map[pool]int{}, left: most}
+	for _, b := range bins {
+		p.add(b)
+	}
+	return p
+}
+
+func (p *packer) add(b *bin) {
+	k := gpuBucket(b.free)
+	p.byGPUs[k] = append(p.byGPUs[k], b)
+}
+
+// fill puts up to left tasks into bins of a zone, or of any if it is "", and
+// returns how many are left. With dry set it only counts.
+func (p *packer) fill(spec *job.Spec, zone string, left int, dry bool) int {
+	for k := gpuBucket(spec.Need); k < len(p.byGPUs) && left > 0; k++ {
+		moved := false
+		for _, b := range p.byGPUs[k] {
 			if left == 0 {
 				break
 			}
-			if !d.Spec.Allows(b.typeName, b.zone, b.spot) {
+			if zone != "" && b.zone != zone || !spec.Fits(b.free) || !spec.Allows(b.typeName, b.zone, b.spot) {
 				continue
 			}
-			if n := min(left, d.Spec.Count(b.free)); n > 0 {
-				b.free = b.free.Add(d.Spec.Need, -float64(n))
+			n := min(left, spec.Count(b.free))
+			left -= n
+			if !dry {
+				b.free = b.free.Add(spec.Need, -float64(n))
 				b.used = true
-				left -= n
+				moved = moved || gpuBucket(b.free) != k
 			}
 		}
-		for left > 0 && total < most {
-			o, n := cheapest(&d.Spec, left, onOffer)
-			if n == 0 {
-				break
+		if !moved {
+			continue
+		}
+		kept := p.byGPUs[k][:0]
+		for _, b := range p.byGPUs[k] {
+			if at := gpuBucket(b.free); at != k {
+				p.byGPUs[at] = append(p.byGPUs[at], b)
+			} else {
+				kept = append(kept, b)
 			}
-			take := min(n, left)
-			bins = append(bins, &bin{typeName: o.typeName, zone: o.zone, spot: o.spot, free: o.capacity.Add(d.Spec.Need, -float64(take)), used: true})
-			rent[o.pool]++
-			total++
-			left -= take
 		}
+		p.byGPUs[k] = kept
+	}
+	return left
+}
+
+// hire rents what left tasks need beyond the bins.
+func (p *packer) hire(spec *job.Spec, zone string, left int) {
+	for left > 0 && p.left > 0 {
+		o, n := cheapest(spec, zone, p.offers)
+		if n == 0 {
+			return
+		}
+		take := min(n, left)
+		p.add(&bin{typeName: o.typeName, zone: o.zone, spot: o.spot, free: o.capacity.Add(spec.Need, -float64(take)), used: true})
+		p.rent[o.pool]++
+		p.left--
+		left -= take
+	}
+}
+
+// zoneFor picks the zone for a gang that must be in one: that in which most of
+// it has room, among those in which machines can be had for the rest.
+func (p *packer) zoneFor(spec *job.Spec, tasks int, zones map[string]bool) string {
+	best, bestLeft := "", 0
+	for z := range zones {
+		left := p.fill(spec, z, tasks, true)
+		if left > 0 {
+			if _, n := cheapest(spec, z, p.offers); n == 0 {
+				left += unrentable
+			}
+		}
+		if best == "" || left < bestLeft || left == bestLeft && z < best {
+			best, bestLeft = z, left
+		}
+	}
+	return best
+}
+
+// unrentable puts zones without machines to rent behind all others.
+const unrentable = job.MaxTasks
+
+// packing puts waiting tasks into bins and says what to rent for the rest.
+// bins are marked used where something was put.
+func packing(demands []Demand, bins []*bin, onOffer []offer, most int) map[pool]int {
+	slices.SortStableFunc(demands, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(b.Spec.Priority(), a.Spec.Priority()), cmp.Compare(b.Spec.GPUs*1e6+b.AgeS, a.Spec.GPUs*1e6+a.AgeS))
+	})
+	slices.SortStableFunc(bins, func(a, b *bin) int { return cmp.Compare(a.name, b.name) })
+	zones := map[string]bool{}
+	for _, b := range bins {
+		zones[b.zone] = true
+	}
+	for _, o := range onOffer {
+		zones[o.zone] = true
+	}
+	p := newPacker(bins, onOffer, most)
+	for i := range demands {
+		d := &demands[i]
+		k := rounds(d, time.Minute)
+		left := (d.Waiting + k - 1) / k
+		if left <= 0 {
+			continue
+		}
+		zone := ""
+		if d.Spec.OneZone && d.Spec.Shape == job.Gang {
+			zone = p.zoneFor(&d.Spec, left, zones)
+		}
+		p.hire(&d.Spec, zone, p.fill(&d.Spec, zone, left, false))
 	}
-	return rent
+	return p.rent
 }
 
 // rounds is how many times over a place can serve a job's tasks before its
@@ -108,12 +193,12 @@
 	return max(1, int(left/(1.3*d.Spec.EstimateS+10)))
 }
 
-// cheapest picks the offer with the lowest price per task that it would hold.
-func cheapest(spec *job.Spec, left int, onOffer []offer) (best offer, fits int) {
+// cheapest picks the offer in a zone, or in any, with the lowest price per task that it would hold.
+func cheapest(spec *job.Spec, zone string, onOffer []offer) (best offer, fits int) {
 	bestCost := 0.0
 	for _, o := range onOffer {
 		n := spec.Count(o.capacity)
-		if n == 0 || !spec.Allows(o.typeName, o.zone, o.spot) {
+		if n == 0 || zone != "" && o.zone != zone || !spec.Allows(o.typeName, o.zone, o.spot) {
 			continue
 		}
 		if cost := o.price / float64(n); fits == 0 || cost < bestCost {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -18,21 +19,8 @@
 	"robinstack/job"
 	"robinstack/policy"
 	"robinstack/statekv"
-	"robinstack/worker"
 )
 
-// account is what a task takes of its team's limit.
-type account struct {
-	team string
-	need job.Need
-}
-
-type permit struct {
-	account
-	slot  string
-	epoch uint64
-}
-
 // Steward is the role on this controller, whether it holds it or not.
 type Steward struct {
 	settings  *config.Settings
@@ -48,8 +36,7 @@
 	epoch   uint64 // 0: not steward
 	cleared map[string]bool
 	settled bool
-	permits map[agent.TaskRef]permit
-	held    map[string]map[agent.TaskRef]account // per machine
+	ledger  ledger
 	demand  map[string]demandAt
 	fleet   fleet
 }
@@ -62,7 +49,7 @@
 // New returns a steward that does not hold the role yet.
 func New(settings *config.Settings, pol *policy.Policy, mirror *statekv.Mirror, member *statekv.Member, call agent.Caller, api cloud.API, catalogue *cloud.Catalogue) *Steward {
 	return &Steward{settings: settings, policy: pol, mirror: mirror, member: member, call: call, cloud: api, catalogue: catalogue,
-		permits: map[agent.TaskRef]permit{}, held: map[string]map[agent.TaskRef]account{}, demand: map[string]demandAt{}, fleet: newFleet()}
+		ledger: newLedger(), demand: map[string]demandAt{}, fleet: newFleet()}
 }
 
 // Epoch is the steward epoch if this controller is steward, or 0.
@@ -116,7 +103,7 @@
 		}
 		s.mu.Lock()
 		s.epoch, s.settled, s.cleared = rev, false, map[string]bool{}
-		s.permits = map[agent.TaskRef]permit{}
+		s.ledger.clearPermits()
 		s.fleet = newFleet()
 		s.mu.Unlock()
 		slog.Info("steward", "epoch", rev)
@@ -134,7 +121,7 @@
 		return
 	}
 	left := 0
-	for _, kv := range s.mirror.Prefix(statekv.MachinePrefix) {
+	for _, kv := range s.mirror.Dir(statekv.MachinePrefix) {
 		name := strings.TrimPrefix(kv.Key, statekv.MachinePrefix)
 		ok := s.feed.SettledSince(kv, epoch)
 		s.mu.Lock()
@@ -160,63 +147,29 @@
 func (s *Steward) OnEntries(entries []agent.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, e := range entries {
-		if e.Gone {
-			delete(s.held, e.Machine)
-			continue
-		}
-		old := s.held[e.Machine]
-		now := map[agent.TaskRef]account{}
-		if !e.Settled {
-			// An earlier owner's starts may not have shown up yet.
-			for ref, a := range old {
-				now[ref] = a
-			}
-		}
-		for _, t := range e.Tasks {
-			if t.State == worker.Ended {
-				delete(now, t.TaskRef)
-				continue
-			}
-			a := account{team: t.Team, need: t.Need}
-			if !t.Known {
-				a = old[t.TaskRef]
-				if p, ok := s.permits[t.TaskRef]; ok {
-					a = p.account
-				}
-			}
-			now[t.TaskRef] = a
-			delete(s.permits, t.TaskRef)
-		}
-		s.held[e.Machine] = now
+	for i := range entries {
+		s.ledger.onEntry(&entries[i])
 	}
 }
 
-// usage sums what each team holds or is permitted to start. What may be on
+// usage is what each team holds or is permitted to start. What may be on
 // machines without anyone knowing comes extra, in blank: of a machine that has
 // not shown all that earlier stewards permitted, or has a task of an unknown
 // team, that is as much as it can hold, and it may be any team's.
 func (s *Steward) usage() (use map[string]job.Need, blank job.Need) {
-	use = map[string]job.Need{}
-	types := s.catalogue.Types()
-	dark := map[string]bool{}
-	for name, tasks := range s.held {
-		for _, a := range tasks {
-			dark[name] = dark[name] || a.team == ""
-			use[a.team] = use[a.team].Add(a.need, 1)
-		}
-	}
-	for _, p := range s.permits {
-		use[p.team] = use[p.team].Add(p.need, 1)
+	if s.settled && len(s.ledger.dark) == 0 {
+		return s.ledger.sums, blank
 	}
-	for _, kv := range s.mirror.Prefix(statekv.MachinePrefix) {
+	types := s.catalogue.Types()
+	for _, kv := range s.mirror.Dir(statekv.MachinePrefix) {
 		name := strings.TrimPrefix(kv.Key, statekv.MachinePrefix)
-		var key agent.MachineKey
-		if (dark[name] || !s.settled && !s.cleared[name]) && json.Unmarshal(kv.Value, &key) == nil {
-			blank = blank.Add(job.Capacity(types[key.Type]), 1)
+		if s.ledger.dark[name] || !s.settled && !s.cleared[name] {
+			if key := agent.KeyOf(kv); key != nil {
+				blank = blank.Add(job.Capacity(types[key.Type]), 1)
+			}
 		}
 	}
-	return use, blank
+	return s.ledger.sums, blank
 }
 
 // Service is what placers call.
@@ -235,14 +188,10 @@
 		return errors.New("not steward")
 	}
 	for _, ref := range r.Release {
-		delete(s.permits, ref)
+		s.ledger.release(ref)
 	}
 	if r.Settled {
-		for ref, p := range s.permits {
-			if p.slot == r.Slot && p.epoch < r.Epoch {
-				delete(s.permits, ref)
-			}
-		}
+		s.ledger.releaseSlot(r.Slot, r.Epoch)
 	}
 	reply.Epoch = s.epoch
 	reply.Granted = make([]bool, len(r.Wants))
@@ -250,19 +199,21 @@
 	if len(s.catalogue.Types()) == 0 {
 		return nil
 	}
+	added := map[string]job.Need{}
 	for i, w := range r.Wants {
 		team := s.settings.Teams[w.Team]
-		total := use[w.Team].Add(w.Need, 1)
-		most := total.Add(blank, 1)
+		total := added[w.Team].Add(w.Need, 1)
+		most := use[w.Team].Add(total, 1).Add(blank, 1)
 		if team.CPUsMax > 0 && most.CPUs > team.CPUsMax || team.GPUsMax > 0 && most.GPUs > team.GPUsMax {
 			continue
 		}
-		use[w.Team] = total
+		added[w.Team] = total
 		reply.Granted[i] = true
-		if r.Probe {
-			continue
+	}
+	for i, w := range r.Wants {
+		if reply.Granted[i] && !r.Probe {
+			s.ledger.grant(w.Ref, permit{account: account{team: w.Team, need: w.Need}, slot: r.Slot, epoch: r.Epoch})
 		}
-		s.permits[w.Ref] = permit{account: account{team: w.Team, need: w.Need}, slot: r.Slot, epoch: r.Epoch}
 	}
 	return nil
 }
@@ -281,5 +232,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	use, _ = s.usage()
-	return use, s.epoch != 0
+	return maps.Clone(use), s.epoch != 0
 }
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -30,7 +30,7 @@
 	if _, err := state.Txn(ctx, nil, []statekv.Op{{Set: statekv.MachinePrefix + "m1", Value: machine}}); err != nil {
 		t.Fatal(err)
 	}
-	mirror := statekv.NewMirror(state, statekv.FleetPrefix, statekv.RootPrefix, time.Second, func([]statekv.Event) {})
+	mirror := statekv.NewMirror(state, statekv.FleetPrefix, statekv.RootPrefix, time.Second, 0, func([]statekv.Event) {})
 	if err := mirror.Load(ctx); err != nil {
 		t.Fatal(err)
 	}
