Machines change hands by shards; an unanswered commit is asked of its owner only

Now a machine's key names a shard and a handful of shard keys change hands. Tasks on machines whose keys are gone are given up. Machines that do not answer a new owner within 6 s are deleted if they are few.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,48 +5,16 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"hash/fnv"
 	"log/slog"
-	"strings"
 	"sync"
 	"time"
 
 	"robinstack/cloud"
 	"robinstack/config"
-	"robinstack/job"
 	"robinstack/statekv"
 	"robinstack/worker"
 )
 
-// MachineKey is what a machine's key in the state service holds.
-type MachineKey struct {
-	statekv.Holder
-	Address string `json:"address"`
-	Type    string `json:"type"`
-	Zone    string `json:"zone"`
-	Spot    bool   `json:"spot"`
-}
-
-// ParseKey reads a machine's key for the mirror, once for all who look at it.
-func ParseKey(key string, value json.RawMessage) any {
-	var k MachineKey
-	if !strings.HasPrefix(key, statekv.MachinePrefix) || json.Unmarshal(value, &k) != nil {
-		return nil
-	}
-	return &k
-}
-
-// KeyOf returns what a machine's key holds, or nil if it cannot be read.
-func KeyOf(kv statekv.KV) *MachineKey {
-	if k, ok := kv.Parsed.(*MachineKey); ok {
-		return k
-	}
-	k, _ := ParseKey(kv.Key, kv.Value).(*MachineKey)
-	return k
-}
-
 // Agent owns machines. Its mutex guards all its state and is never held over I/O.
 type Agent struct {
 	settings *config.Settings
@@ -66,8 +34,11 @@
 	ctx      context.Context
 	machines map[string]*machine
 	voided   map[TaskRef]time.Time
-	unread   map[string]bool  // jobs whose records have to be read
-	visits   map[string]visit // workers that keep coming though their owner lives
+	unread   map[string]bool   // jobs whose records have to be read
+	shards   map[string]uint64 // shards held, with their keys' revisions
+	home     []string          // those that take new machines
+	claiming map[string]bool   // machines in the queue of claims
+	visits   map[string]visit  // workers that keep coming though their owner lives
 	ver      uint64
 	changed  chan struct{}
 	counters Counters
@@ -83,19 +54,12 @@
 	last  time.Time
 }
 
-type claim struct {
-	name string
-	key  MachineKey
-	seen uint64 // revision of the key that the claim replaces
-	done chan struct{}
-}
-
 // New returns an agent without machines.
 func New(settings *config.Settings, store statekv.Store, mirror *statekv.Mirror, member *statekv.Member, workers worker.Commander, types func() map[string]cloud.MachineType) *Agent {
 	return &Agent{
 		settings: settings, store: store, mirror: mirror, member: member, workers: workers, types: types,
 		claims: make(chan claim, 256), learns: make(chan struct{}, 1),
-		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, visits: map[string]visit{}, changed: make(chan struct{}),
+		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, claiming: map[string]bool{}, visits: map[string]visit{}, changed: make(chan struct{}),
 	}
 }
 
@@ -112,7 +76,7 @@
 	defer tick.Stop()
 	for ctx.Err() == nil {
 		a.inspect(time.Now())
-		a.adoptOrphans()
+		a.holdShards(ctx)
 		select {
 		case <-ctx.Done():
 		case <-tick.C:
@@ -156,22 +120,49 @@
 	if reply, owned := a.ownReport(r, now); owned {
 		return reply
 	}
-	kv, exists := a.mirror.Get(statekv.MachinePrefix + r.Machine)
-	if exists {
-		if key := KeyOf(kv); key != nil && key.Holder != a.member.Holder && a.member.Alive(key.Holder) && !a.cannotReach(r.Machine, now) {
-			return Reply{Home: key.Host}
+	// A machine of an owner whose life has just ended gets a new one at once.
+	for wait := time.Now().Add(ownerWait); ; {
+		rev := a.mirror.Rev()
+		kv, exists := a.mirror.Get(statekv.MachinePrefix + r.Machine)
+		holder, _ := Owner(a.mirror, kv)
+		switch {
+		case !exists:
+			return a.claimFor(ctx, r, 0)
+		case holder == a.member.Holder:
+			a.takeUp([]statekv.KV{kv})
+			reply, _ := a.ownReport(r, time.Now())
+			return reply
+		case a.member.Alive(holder):
+			if a.cannotReach(r.Machine, now) {
+				return a.claimFor(ctx, r, kv.Rev)
+			}
+			return Reply{Home: holder.Host}
+		}
+		wctx, cancel := context.WithDeadline(ctx, wait)
+		err := a.mirror.Wait(wctx, rev+1)
+		cancel()
+		if err != nil {
+			return Reply{}
 		}
 	}
-	c := claim{name: r.Machine, seen: kv.Rev, done: make(chan struct{}),
-		key: MachineKey{Holder: a.member.Holder, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}}
-	select {
-	case a.claims <- c:
-	default:
+}
+
+// ownerWait is how long a report waits for its machine's next owner, and
+// claimWait how long for a claim: the worker gives up after 4 s.
+const (
+	ownerWait = 1500 * time.Millisecond
+	claimWait = 3 * time.Second
+)
+
+// claimFor claims the machine that reported and answers once it is owned.
+func (a *Agent) claimFor(ctx context.Context, r *worker.Report, seen uint64) Reply {
+	done := a.claim(r.Machine, MachineKey{Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}, seen)
+	if done == nil {
 		return Reply{}
 	}
 	select {
-	case <-c.done:
-	case <-time.After(2500 * time.Millisecond):
+	case <-done:
+	case <-time.After(claimWait):
 	case <-ctx.Done():
 	}
 	reply, _ := a.ownReport(r, time.Now())
@@ -232,13 +223,11 @@
 
 func (a *Agent) homeOf(name string) string {
 	kv, ok := a.mirror.Get(statekv.MachinePrefix + name)
-	if !ok {
+	holder, _ := Owner(a.mirror, kv)
+	if !ok || holder.Host == a.member.Host || !a.member.Alive(holder) {
 		return ""
 	}
-	if key := KeyOf(kv); key != nil && key.Host != a.member.Host && a.member.Alive(key.Holder) {
-		return key.Host
-	}
-	return ""
+	return holder.Host
 }
 
 // release gives up a machine that a successor owns.
@@ -256,147 +245,9 @@
 	delete(a.machines, m.name)
 }
 
-// adoptOrphans claims machines whose owner's life is over. The survivors share
-// them by hash; whoever is first in the state service wins in any case.
-func (a *Agent) adoptOrphans() {
-	hosts := a.member.AliveHosts()
-	if !a.member.Certain() || len(hosts) == 0 {
-		return
-	}
-	for _, kv := range a.mirror.Dir(statekv.MachinePrefix) {
-		known := KeyOf(kv)
-		if known == nil {
-			continue
-		}
-		key := *known
-		name := kv.Key[len(statekv.MachinePrefix):]
-		a.mu.Lock()
-		m := a.machines[name]
-		if m != nil && kv.Rev > m.rev {
-			a.release(m)
-		}
-		a.mu.Unlock()
-		mine := key.Holder == a.member.Holder
-		if m != nil || !mine && a.member.Alive(key.Holder) {
-			continue
-		}
-		h := fnv.New32a()
-		h.Write([]byte(name))
-		// A key of ours without a machine is a claim whose answer was lost: if
-		// its worker never came again, nobody else would look after it.
-		if !mine && hosts[int(h.Sum32()%uint32(len(hosts)))] != a.member.Host {
-			continue
-		}
-		key.Holder = a.member.Holder
-		select {
-		case a.claims <- claim{name: name, key: key, seen: kv.Rev, done: make(chan struct{})}:
-		default:
-		}
-	}
-}
-
-// runClaims writes claims in groups, as many as one transaction may hold.
-func (a *Agent) runClaims(ctx context.Context) {
-	for {
-		var batch []claim
-		select {
-		case <-ctx.Done():
-			return
-		case c := <-a.claims:
-			batch = append(batch, c)
-		}
-		for len(batch) < a.settings.State.TxnOps && len(a.claims) > 0 {
-			batch = append(batch, <-a.claims)
-		}
-		for !a.store.Room(statekv.Claims, len(batch)) && ctx.Err() == nil {
-			time.Sleep(50 * time.Millisecond)
-		}
-		a.claimBatch(ctx, batch)
-		for _, c := range batch {
-			close(c.done)
-		}
-	}
-}
-
-func (a *Agent) claimBatch(ctx context.Context, batch []claim) {
-	for len(batch) > 0 && ctx.Err() == nil {
-		var when []statekv.Cond
-		var then []statekv.Op
-		var wanted []claim
-		seen := map[string]bool{}
-		a.mu.Lock()
-		for _, c := range batch {
-			if m := a.machines[c.name]; m == nil && !seen[c.name] {
-				seen[c.name] = true
-				wanted = append(wanted, c)
-				when = append(when, statekv.Cond{Key: statekv.MachinePrefix + c.name, Rev: c.seen})
-				then = append(then, statekv.Op{Set: statekv.MachinePrefix + c.name, Value: c.key})
-			}
-		}
-		a.mu.Unlock()
-		if len(wanted) == 0 {
-			return
-		}
-		tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-		rev, err := a.member.Write(tctx, when, then)
-		cancel()
-		if err == nil {
-			a.own(wanted, rev)
-			return
-		}
-		slog.Debug("claiming machines", "err", err)
-		if !statekv.IsConflict(err) {
-			return
-		}
-		// Some were claimed by others, or by a write of ours whose answer was
-		// lost: look each of them up and keep the rest.
-		batch = nil // the caller's slice stays as it is: it closes every claim once
-		for _, c := range wanted {
-			kv, err := a.store.Get(ctx, statekv.MachinePrefix+c.name)
-			var key *MachineKey
-			if err == nil {
-				key = KeyOf(kv)
-			}
-			switch {
-			case key != nil && key.Holder == a.member.Holder:
-				a.own([]claim{c}, kv.Rev)
-			case err == nil && kv.Rev == c.seen, err == statekv.ErrNotFound && c.seen == 0:
-				batch = append(batch, c)
-			}
-		}
-		if len(batch) == len(wanted) {
-			return // our own condition failed: this life is over
-		}
-	}
-}
-
-func (a *Agent) own(claims []claim, rev uint64) {
-	now := time.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, c := range claims {
-		if old := a.machines[c.name]; old != nil {
-			continue
-		}
-		m := &machine{name: c.name, address: c.key.Address, typeName: c.key.Type, zone: c.key.Zone, spot: c.key.Spot, rev: rev,
-			tasks: map[taskKey]*task{}, images: map[string]time.Time{}, failures: map[string]time.Time{},
-			heard: now, answerEnd: now, kick: make(chan struct{}, 1), quit: make(chan struct{})}
-		if a.Images != nil {
-			for _, image := range a.Images(c.name) {
-				m.images[image] = now
-			}
-		}
-		if c.seen != 0 {
-			// The earlier owner may go on answering for its hold time.
-			m.answerEnd = now.Add(a.settings.HoldTime())
-		}
-		a.machines[c.name] = m
-		a.touch(m)
-		go a.runMachine(a.ctx, m)
-		m.wake()
-		slog.Info("machine owned", "machine", m.name, "type", m.typeName, "zone", m.zone, "spot", m.spot, "rev", rev, "taken_over", c.seen != 0)
-	}
-}
+// unsettledQuiet is how long a machine may leave its new owner's commands
+// unanswered before it counts as silent.
+const unsettledQuiet = 6 * time.Second
 
 // inspect does what time brings: reservations expire, silent machines are
 // noticed, and tasks of unreachable workers are gone once their lease ran out.
@@ -419,7 +270,12 @@
 			continue // deleted: only its key is left
 		}
 		changed := false
-		if !m.silent && now.Sub(m.heard) > 2*a.settings.Workers.Report+2*time.Second {
+		quiet := 2*a.settings.Workers.Report + 2*time.Second
+		if !m.settled {
+			// It is being asked all the time, and slots wait for its answer.
+			quiet = min(quiet, unsettledQuiet)
+		}
+		if !m.silent && now.Sub(m.heard) > quiet {
 			m.silent, changed = true, true
 			slog.Info("machine is silent", "machine", m.name)
 		}
@@ -534,147 +390,3 @@
 	}
 	return true
 }
-
-// wantLearning has the records read of jobs whose tasks m turned out to have.
-func (a *Agent) wantLearning(m *machine) {
-	for _, t := range m.tasks {
-		if t.verify {
-			a.unread[t.ref.Job] = true
-		}
-	}
-	a.learnSoon()
-}
-
-func (a *Agent) learnSoon() {
-	if len(a.unread) == 0 {
-		return
-	}
-	select {
-	case a.learns <- struct{}{}:
-	default:
-	}
-}
-
-// manyUnread is from how many jobs on all open records are listed, many to a
-// request, instead of being read one by one.
-const manyUnread = 6
-
-// runLearning reads the records of jobs whose tasks were found on machines, or
-// whose placer changed: what is over is stopped, the rest gets its needs.
-func (a *Agent) runLearning(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-a.learns:
-		}
-		a.mu.Lock()
-		ids := a.unread
-		a.unread = map[string]bool{}
-		a.mu.Unlock()
-		err := a.learn(ctx, ids)
-		pause := 100 * time.Millisecond // reports come in groups
-		if err != nil {
-			slog.Debug("reading jobs' records", "jobs", len(ids), "err", err)
-			pause = time.Second
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
-		a.mu.Lock()
-		if err != nil {
-			for id := range ids {
-				a.unread[id] = true
-			}
-		}
-		a.learnSoon()
-		a.mu.Unlock()
-	}
-}
-
-// learn reads records and takes what was read out of ids.
-func (a *Agent) learn(ctx context.Context, ids map[string]bool) error {
-	found := map[string]*job.Record{}
-	for after, more := "", len(ids) >= manyUnread; more; {
-		page, err := a.store.List(ctx, job.OpenPrefix, after)
-		if err != nil {
-			return err
-		}
-		for _, kv := range page.Items {
-			after = kv.Key
-			if id := strings.TrimPrefix(kv.Key, job.OpenPrefix); ids[id] {
-				rec, err := job.ParseRecord(kv.Value)
-				if err != nil {
-					return err
-				}
-				found[id] = rec
-			}
-		}
-		more = page.More && len(page.Items) > 0
-	}
-	a.learned(found)
-	for id := range found {
-		delete(ids, id)
-	}
-	// What the list did not have is over, or came since: read it by itself.
-	for id := range ids {
-		kv, err := a.store.Get(ctx, job.OpenKey(id))
-		var rec *job.Record
-		if err == nil {
-			rec, err = job.ParseRecord(kv.Value)
-		}
-		if err != nil && !errors.Is(err, statekv.ErrNotFound) {
-			return err
-		}
-		a.learned(map[string]*job.Record{id: rec})
-		delete(ids, id)
-	}
-	return nil
-}
-
-// learned takes in records; nil stands for a job that is over.
-func (a *Agent) learned(records map[string]*job.Record) {
-	if len(records) == 0 {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, m := range a.machines {
-		changed := false
-		for _, t := range m.tasks {
-			rec, read := records[t.ref.Job]
-			if !read || !t.verify {
-				continue
-			}
-			t.verify, changed = false, true
-			if rec == nil {
-				t.stop, t.forget = true, true
-				t.spec = &job.Spec{}
-			} else {
-				t.spec, t.slot = &rec.Spec, rec.Slot
-			}
-		}
-		if changed {
-			m.summed = false
-			m.wake()
-			a.touch(m)
-		}
-	}
-}
-
-// SlotMoved has the tasks of a slot checked against their records: its earlier
-// placer may have left tasks of jobs that are over.
-func (a *Agent) SlotMoved(slot string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, m := range a.machines {
-		for _, t := range m.tasks {
-			if t.slot == slot {
-				t.verify = true
-				a.unread[t.ref.Job] = true
-			}
-		}
-	}
-	a.learnSoon()
-}
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,6 +54,7 @@
 	if err := mirror.Wait(ctx, member.Instance); err != nil {
 		t.Fatal(err)
 	}
+	time.Sleep(time.Second) // its shards are made
 	return &node{agent: a, service: agent.NewService(a), member: member, mirror: mirror, stop: stop}
 }
 
@@ -406,3 +408,90 @@
 		}
 	})
 }
+
+// A crash with a thousand machines held must not take a write for each: by the
+// time those were made, workers' leases had run out and slots had waited for
+// minutes. Their work goes on, and every machine is settled within seconds.
+func TestThousandMachinesChangeHandsWithFewWrites(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		a, b := start(t, ctx, "host-0", state, workers), start(t, ctx, "host-1", state, workers)
+		epoch := slot(t, a, "s", 0)
+		before := state.Changes()
+		var all []*fakes.Worker
+		for i := range 1000 {
+			all = append(all, workers.Add(fmt.Sprintf("m%d", i), "box", "a"))
+			go a.report(workers, all[i])
+		}
+		for range 3 { // more come at once than are let wait; those come again
+			time.Sleep(5 * time.Second)
+			owned := a.entries()
+			for _, w := range all {
+				if _, ok := owned[w.Report.Machine]; !ok {
+					go a.report(workers, w)
+				}
+			}
+		}
+		time.Sleep(5 * time.Second)
+		if n := len(a.entries()); n != 1000 || state.Changes()-before != 1000 {
+			t.Fatalf("%d machines after %d changes", n, state.Changes()-before)
+		}
+		if _, err := state.Txn(ctx, nil, []statekv.Op{{Set: job.OpenKey("wk-1"), Value: job.Record{Spec: job.Spec{ID: "wk-1", Tasks: 9}, Slot: "s"}}}); err != nil {
+			t.Fatal(err)
+		}
+		for _, w := range all {
+			a.report(workers, w)
+		}
+		if got := a.commit(t, "m1", "s", epoch, 0, 1); got != agent.Started {
+			t.Fatalf("verdict %q", got)
+		}
+		before = state.Changes()
+		a.stop()
+		synctest.Wait()
+		if err := state.Revoke(ctx, 1); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		settled := 0
+		for _, e := range b.entries() {
+			if e.Settled {
+				settled++
+			}
+		}
+		if n := state.Changes() - before; settled != 1000 || n > 20 || held(workers, all[1]) != 1 {
+			t.Fatalf("%d machines settled after %d changes; %d tasks on m1", settled, n, held(workers, all[1]))
+		}
+	})
+}
+
+// A later life of the same controller does not know what its earlier life
+// started: asked to void a commit, it must not say that the task never came.
+// That had the task started a second time elsewhere (ran_twice).
+func TestVoidIsForTheOwnerThatWasAsked(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		epoch := slot(t, n, "s", 0)
+		w := workers.Add("m1", "box", "a")
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		rev := n.entries()["m1"].Rev
+		if got := n.commit(t, "m1", "s", epoch, 0, 1); got != agent.Started {
+			t.Fatalf("verdict %q", got)
+		}
+		void := func(n *node) (reply agent.VoidReply, err error) {
+			err = n.service.Void(agent.VoidRequest{Machine: "m1", Rev: rev, Refs: []agent.TaskRef{{Job: "wk-1", Attempt: 1}}}, &reply)
+			return reply, err
+		}
+		if reply, err := void(n); err != nil || !reply.Present[0] {
+			t.Fatal("the task is there", reply, err)
+		}
+		n.stop()
+		synctest.Wait()
+		if err := state.Revoke(ctx, 1); err != nil {
+			t.Fatal(err)
+		}
+		workers.Do(func() { w.Deaf = true })
+		if reply, err := void(start(t, ctx, "host-0", state, workers)); err == nil {
+			t.Fatalf("the next life answered %v", reply)
+		}
+	})
+}
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -127,15 +127,12 @@
 // to its key, is in the latest entry, and its owner refuses commits that were
 // sent under epochs before the given one.
 func (f *Feed) SettledSince(kv statekv.KV, epoch uint64) bool {
-	key := KeyOf(kv)
-	if key == nil {
-		return false
-	}
+	holder, rev := Owner(f.mirror, kv)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e, ok := f.entries[kv.Key[len(statekv.MachinePrefix):]]
-	a := f.acks[key.Host]
-	return ok && e.Rev == kv.Rev && e.Settled && a.instance == key.Instance && a.rev >= epoch
+	a := f.acks[holder.Host]
+	return ok && e.Rev == rev && e.Settled && a.instance == holder.Instance && a.rev >= epoch
 }
 
 // PeersServed counts the other agents that reported lately that the state
--- /dev/null
+++ b/agent/learn.go
@@ -0,0 +1,156 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strings"
+	"time"
+
+	"robinstack/job"
+	"robinstack/statekv"
+)
+
+// wantLearning has the records read of jobs whose tasks m turned out to have.
+func (a *Agent) wantLearning(m *machine) {
+	for _, t := range m.tasks {
+		if t.verify {
+			a.unread[t.ref.Job] = true
+		}
+	}
+	a.learnSoon()
+}
+
+func (a *Agent) learnSoon() {
+	if len(a.unread) == 0 {
+		return
+	}
+	select {
+	case a.learns <- struct{}{}:
+	default:
+	}
+}
+
+// manyUnread is from how many jobs on all open records are listed, many to a
+// request, instead of being read one by one.
+const manyUnread = 6
+
+// runLearning reads the records of jobs whose tasks were found on machines, or
+// whose placer changed: what is over is stopped, the rest gets its needs.
+func (a *Agent) runLearning(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.learns:
+		}
+		a.mu.Lock()
+		ids := a.unread
+		a.unread = map[string]bool{}
+		a.mu.Unlock()
+		err := a.learn(ctx, ids)
+		pause := 100 * time.Millisecond // reports come in groups
+		if err != nil {
+			slog.Debug("reading jobs' records", "jobs", len(ids), "err", err)
+			pause = time.Second
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		a.mu.Lock()
+		if err != nil {
+			for id := range ids {
+				a.unread[id] = true
+			}
+		}
+		a.learnSoon()
+		a.mu.Unlock()
+	}
+}
+
+// learn reads records and takes what was read out of ids.
+func (a *Agent) learn(ctx context.Context, ids map[string]bool) error {
+	found := map[string]*job.Record{}
+	for after, more := "", len(ids) >= manyUnread; more; {
+		page, err := a.store.List(ctx, job.OpenPrefix, after)
+		if err != nil {
+			return err
+		}
+		for _, kv := range page.Items {
+			after = kv.Key
+			if id := strings.TrimPrefix(kv.Key, job.OpenPrefix); ids[id] {
+				rec, err := job.ParseRecord(kv.Value)
+				if err != nil {
+					return err
+				}
+				found[id] = rec
+			}
+		}
+		more = page.More && len(page.Items) > 0
+	}
+	a.learned(found)
+	for id := range found {
+		delete(ids, id)
+	}
+	// What the list did not have is over, or came since: read it by itself.
+	for id := range ids {
+		kv, err := a.store.Get(ctx, job.OpenKey(id))
+		var rec *job.Record
+		if err == nil {
+			rec, err = job.ParseRecord(kv.Value)
+		}
+		if err != nil && !errors.Is(err, statekv.ErrNotFound) {
+			return err
+		}
+		a.learned(map[string]*job.Record{id: rec})
+		delete(ids, id)
+	}
+	return nil
+}
+
+// learned takes in records; nil stands for a job that is over.
+func (a *Agent) learned(records map[string]*job.Record) {
+	if len(records) == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, m := range a.machines {
+		changed := false
+		for _, t := range m.tasks {
+			rec, read := records[t.ref.Job]
+			if !read || !t.verify {
+				continue
+			}
+			t.verify, changed = false, true
+			if rec == nil {
+				t.stop, t.forget = true, true
+				t.spec = &job.Spec{}
+			} else {
+				t.spec, t.slot = &rec.Spec, rec.Slot
+			}
+		}
+		if changed {
+			m.summed = false
+			m.wake()
+			a.touch(m)
+		}
+	}
+}
+
+// SlotMoved has the tasks of a slot checked against their records: its earlier
+// placer may have left tasks of jobs that are over.
+func (a *Agent) SlotMoved(slot string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, m := range a.machines {
+		for _, t := range m.tasks {
+			if t.slot == slot {
+				t.verify = true
+				a.unread[t.ref.Job] = true
+			}
+		}
+	}
+	a.learnSoon()
+}
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -8,7 +8,7 @@
 )
 
 // tokenBits is the part of a token that an owner may raise by itself; the
-// revision of the machine's key is above it.
+// revision of its ownership is above it.
 const tokenBits = 20
 
 type taskKey struct {
@@ -59,7 +59,8 @@
 	typeName  string
 	zone      string
 	spot      bool
-	rev       uint64
+	keyRev    uint64 // of the machine's key
+	rev       uint64 // of our ownership
 	counter   uint64
 	seenToken uint64
 	session   uint64
--- /dev/null
+++ b/agent/owner.go
@@ -0,0 +1,362 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"robinstack/statekv"
+)
+
+// Ownership goes by shards: a machine's key names its shard, and the shard's key
+// names the owner. When an owner dies, its hundreds of machines change hands
+// with one write for each of a few shards, while all their work goes on.
+
+// MachineKey is what a machine's key in the state service holds.
+type MachineKey struct {
+	Shard   string `json:"shard"`
+	Address string `json:"address"`
+	Type    string `json:"type"`
+	Zone    string `json:"zone"`
+	Spot    bool   `json:"spot"`
+}
+
+// ShardKey is what a shard's key holds. Index spreads the shards of a dead
+// owner among the survivors.
+type ShardKey struct {
+	statekv.Holder
+	Index int `json:"index"`
+}
+
+// ownShards is how many shards an owner starts with.
+const ownShards = 4
+
+// ParseKey reads a key for the mirror, once for all who look at it.
+func ParseKey(key string, value json.RawMessage) any {
+	switch {
+	case strings.HasPrefix(key, statekv.MachinePrefix):
+		var k MachineKey
+		if json.Unmarshal(value, &k) == nil {
+			return &k
+		}
+	case strings.HasPrefix(key, statekv.ShardPrefix):
+		var k ShardKey
+		if json.Unmarshal(value, &k) == nil {
+			return &k
+		}
+	}
+	return nil
+}
+
+func parsed[T any](kv statekv.KV) *T {
+	if k, ok := kv.Parsed.(*T); ok {
+		return k
+	}
+	k, _ := ParseKey(kv.Key, kv.Value).(*T)
+	return k
+}
+
+// KeyOf returns what a machine's key holds, or nil if it cannot be read.
+func KeyOf(kv statekv.KV) *MachineKey { return parsed[MachineKey](kv) }
+
+// Owner returns who owns the machine of a key, if its shard has an owner, and
+// the revision that this ownership has: that of the later of the two keys.
+func Owner(mirror *statekv.Mirror, kv statekv.KV) (holder statekv.Holder, rev uint64) {
+	key := KeyOf(kv)
+	if key == nil {
+		return holder, kv.Rev
+	}
+	shard, ok := mirror.Get(statekv.ShardPrefix + key.Shard)
+	if !ok {
+		return holder, kv.Rev
+	}
+	if k := parsed[ShardKey](shard); k != nil {
+		holder = k.Holder
+	}
+	return holder, max(kv.Rev, shard.Rev)
+}
+
+func hashOf(name string) int {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return int(h.Sum32() >> 1)
+}
+
+// heir is who takes over a shard whose owner's life has ended: the same
+// controller if it is back, or one of the others, each a few.
+func heir(key *ShardKey, hosts []string) string {
+	if slices.Contains(hosts, key.Host) {
+		return key.Host
+	}
+	return hosts[(hashOf(key.Host)+key.Index)%len(hosts)]
+}
+
+// holdShards takes shards whose owner's life is over, and new ones if this
+// controller has none, and takes up the machines in them.
+func (a *Agent) holdShards(ctx context.Context) {
+	hosts := a.member.AliveHosts()
+	if !a.member.Certain() || !slices.Contains(hosts, a.member.Host) {
+		return
+	}
+	held, latest := map[string]uint64{}, uint64(0)
+	for _, kv := range a.mirror.Dir(statekv.ShardPrefix) {
+		key := parsed[ShardKey](kv)
+		if key == nil {
+			continue
+		}
+		rev := kv.Rev
+		if key.Holder != a.member.Holder {
+			if a.member.Alive(key.Holder) || heir(key, hosts) != a.member.Host {
+				continue
+			}
+			var err error
+			tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+			rev, err = a.member.Take(tctx, kv.Key, kv.Rev, ShardKey{Holder: a.member.Holder, Index: key.Index})
+			cancel()
+			if err != nil {
+				slog.Debug("taking a shard", "key", kv.Key, "err", err)
+				continue
+			}
+			slog.Info("shard taken", "shard", kv.Key[len(statekv.ShardPrefix):], "from", key.Host, "rev", rev)
+		}
+		held[kv.Key[len(statekv.ShardPrefix):]] = rev
+		latest = max(latest, rev)
+	}
+	if home := a.homeShards(); held[home[0]] == 0 {
+		rev, err := a.makeShards(ctx)
+		if err != nil {
+			// If they were made after all, the mirror will show them.
+			slog.Debug("making shards", "err", err)
+			return
+		}
+		latest = max(latest, rev)
+		for _, id := range home {
+			held[id] = rev
+		}
+	}
+	// What an earlier owner claimed last is in the mirror by then.
+	wctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	if a.mirror.Wait(wctx, latest) != nil {
+		return
+	}
+	a.mu.Lock()
+	a.shards, a.home = held, a.homeShards()
+	a.mu.Unlock()
+	a.sortOut(hosts, a.dropEmpty(ctx, held))
+}
+
+// homeShards names the shards that this life made.
+func (a *Agent) homeShards() []string {
+	var ids []string
+	for k := range ownShards {
+		ids = append(ids, fmt.Sprintf("%s.%d.%d", a.member.Host, a.member.Instance, k))
+	}
+	return ids
+}
+
+func (a *Agent) makeShards(ctx context.Context) (uint64, error) {
+	var when []statekv.Cond
+	var then []statekv.Op
+	for k, id := range a.homeShards() {
+		// Once only: a copy applied late must not raise the revision of a
+		// shard that has machines by then.
+		when = append(when, statekv.Cond{Key: statekv.ShardPrefix + id})
+		then = append(then, statekv.Op{Set: statekv.ShardPrefix + id, Value: ShardKey{Holder: a.member.Holder, Index: k}})
+	}
+	tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	return a.member.Write(tctx, when, then)
+}
+
+// dropEmpty returns the keys of all machines, and removes the key of a shard
+// taken over earlier in which there are none any more.
+func (a *Agent) dropEmpty(ctx context.Context, held map[string]uint64) []statekv.KV {
+	keys := a.mirror.Dir(statekv.MachinePrefix)
+	if len(held) <= ownShards {
+		return keys
+	}
+	used := map[string]bool{}
+	for _, kv := range keys {
+		if key := KeyOf(kv); key != nil {
+			used[key.Shard] = true
+		}
+	}
+	for id, rev := range held {
+		if used[id] || slices.Contains(a.home, id) || !a.store.Room(statekv.Chores, 1) {
+			continue
+		}
+		tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		_, err := a.member.Write(tctx, []statekv.Cond{{Key: statekv.ShardPrefix + id, Rev: rev}}, []statekv.Op{{Delete: statekv.ShardPrefix + id}})
+		cancel()
+		slog.Debug("empty shard removed", "shard", id, "err", err)
+		break
+	}
+	return keys
+}
+
+// sortOut takes up the machines that are ours by their keys, gives up those that
+// are not any more, and claims those whose shard has been lost.
+func (a *Agent) sortOut(hosts []string, keys []statekv.KV) {
+	var ours []statekv.KV
+	for _, kv := range keys {
+		holder, rev := Owner(a.mirror, kv)
+		name := kv.Key[len(statekv.MachinePrefix):]
+		a.mu.Lock()
+		m := a.machines[name]
+		switch {
+		case holder == a.member.Holder:
+			if m == nil {
+				ours = append(ours, kv)
+			}
+		case m != nil && rev > m.rev:
+			a.release(m)
+		}
+		a.mu.Unlock()
+		if holder == (statekv.Holder{}) && m == nil && hosts[hashOf(name)%len(hosts)] == a.member.Host {
+			if key := KeyOf(kv); key != nil {
+				a.claim(name, *key, kv.Rev)
+			}
+		}
+	}
+	a.takeUp(ours)
+}
+
+// claim is a machine that is to be written into one of our shards.
+type claim struct {
+	name string
+	key  MachineKey
+	seen uint64 // revision of the key that the claim replaces
+	done chan struct{}
+}
+
+// claim queues a claim, at most one for each machine at a time. The channel is
+// closed once it was tried; nil means that it cannot be queued.
+func (a *Agent) claim(name string, key MachineKey, seen uint64) chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.claiming[name] || len(a.home) == 0 {
+		return nil
+	}
+	key.Shard = a.home[hashOf(name)%len(a.home)]
+	c := claim{name: name, key: key, seen: seen, done: make(chan struct{})}
+	select {
+	case a.claims <- c:
+		a.claiming[name] = true
+		return c.done
+	default:
+		return nil
+	}
+}
+
+// runClaims writes claims in groups, as many as one transaction may hold.
+func (a *Agent) runClaims(ctx context.Context) {
+	for {
+		var batch []claim
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-a.claims:
+			batch = append(batch, c)
+		}
+		for len(batch) < a.settings.State.TxnOps && len(a.claims) > 0 {
+			batch = append(batch, <-a.claims)
+		}
+		// Meanwhile another controller may have claimed it.
+		open := slices.DeleteFunc(slices.Clone(batch), func(c claim) bool {
+			kv, _ := a.mirror.Get(statekv.MachinePrefix + c.name)
+			return kv.Rev != c.seen
+		})
+		for len(open) > 0 && !a.store.Room(statekv.Claims, len(open)) && ctx.Err() == nil {
+			time.Sleep(50 * time.Millisecond)
+		}
+		a.claimBatch(ctx, open)
+		a.mu.Lock()
+		for _, c := range batch {
+			delete(a.claiming, c.name)
+			close(c.done)
+		}
+		a.mu.Unlock()
+	}
+}
+
+// claimBatch writes claims, leaving out those that others were faster with. A
+// claim of ours whose answer was lost is taken up once the mirror shows it.
+func (a *Agent) claimBatch(ctx context.Context, batch []claim) {
+	for len(batch) > 0 && ctx.Err() == nil {
+		var when []statekv.Cond
+		var then []statekv.Op
+		for _, c := range batch {
+			when = append(when, statekv.Cond{Key: statekv.MachinePrefix + c.name, Rev: c.seen})
+			then = append(then, statekv.Op{Set: statekv.MachinePrefix + c.name, Value: c.key})
+		}
+		tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		rev, err := a.member.Write(tctx, when, then)
+		cancel()
+		if err == nil {
+			for _, c := range batch {
+				a.own(c.name, &c.key, rev, rev, c.seen != 0)
+			}
+			return
+		}
+		slog.Debug("claiming machines", "machines", len(batch), "err", err)
+		var conflict *statekv.Conflict
+		if !errors.As(err, &conflict) {
+			return
+		}
+		left := slices.DeleteFunc(slices.Clone(batch), func(c claim) bool {
+			return slices.Contains(conflict.Failed, statekv.MachinePrefix+c.name)
+		})
+		if len(left) == len(batch) {
+			return // our own condition failed: this life is over
+		}
+		batch = left
+	}
+}
+
+// takeUp looks after machines that are ours by their keys.
+func (a *Agent) takeUp(keys []statekv.KV) {
+	for _, kv := range keys {
+		key := KeyOf(kv)
+		holder, rev := Owner(a.mirror, kv)
+		if key == nil || holder != a.member.Holder {
+			continue
+		}
+		a.own(strings.TrimPrefix(kv.Key, statekv.MachinePrefix), key, kv.Rev, rev, true)
+	}
+}
+
+// own begins to look after a machine. keyRev is its key's revision, rev that of
+// our ownership.
+func (a *Agent) own(name string, key *MachineKey, keyRev, rev uint64, takenOver bool) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.machines[name] != nil {
+		return
+	}
+	m := &machine{name: name, address: key.Address, typeName: key.Type, zone: key.Zone, spot: key.Spot, keyRev: keyRev, rev: rev,
+		tasks: map[taskKey]*task{}, images: map[string]time.Time{}, failures: map[string]time.Time{},
+		heard: now, answerEnd: now, kick: make(chan struct{}, 1), quit: make(chan struct{})}
+	if a.Images != nil {
+		for _, image := range a.Images(name) {
+			m.images[image] = now
+		}
+	}
+	if takenOver {
+		// The earlier owner may go on answering for its hold time.
+		m.answerEnd = now.Add(a.settings.HoldTime())
+	}
+	a.machines[name] = m
+	a.touch(m)
+	go a.runMachine(a.ctx, m)
+	m.wake()
+	slog.Debug("machine owned", "machine", name, "type", m.typeName, "zone", m.zone, "spot", m.spot, "rev", strconv.FormatUint(rev, 10), "taken_over", takenOver)
+}
--- a/agent/service.go
+++ b/agent/service.go
@@ -159,21 +159,24 @@
 }
 
 // Void makes commits harmless that were sent but not answered, unless the task
-// is on a machine already.
+// is on the machine already. Only the owner that the commit went to can say so:
+// to a later life of the same controller the task is unknown although it may run.
 func (s *Service) Void(r VoidRequest, reply *VoidReply) error {
 	a := s.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	m := a.machines[r.Machine]
+	if m == nil || m.rev != r.Rev || m.gone {
+		return errors.New("machine is not owned here under that revision")
+	}
 	reply.Present = make([]bool, len(r.Refs))
 	for i, ref := range r.Refs {
 		key := taskKey{job.TaskID(ref.Job, ref.Index), ref.Attempt}
-		for _, m := range a.machines {
-			if t := m.tasks[key]; t != nil {
-				if t.state == stateHeld {
-					m.drop(key)
-				} else {
-					reply.Present[i] = true
-				}
+		if t := m.tasks[key]; t != nil {
+			if t.state == stateHeld {
+				m.drop(key)
+			} else {
+				reply.Present[i] = true
 			}
 		}
 		if !reply.Present[i] {
@@ -340,7 +343,7 @@
 	var when []statekv.Cond
 	var then []statekv.Op
 	for _, m := range batch {
-		when = append(when, statekv.Cond{Key: statekv.MachinePrefix + m.name, Rev: m.rev})
+		when = append(when, statekv.Cond{Key: statekv.MachinePrefix + m.name, Rev: m.keyRev})
 		then = append(then, statekv.Op{Delete: statekv.MachinePrefix + m.name})
 	}
 	tctx, cancel := context.WithTimeout(ctx, 3*time.Second)
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -84,7 +84,11 @@
 }
 
 // VoidRequest makes commits harmless that may still be under way.
-type VoidRequest struct{ Refs []TaskRef }
+type VoidRequest struct {
+	Machine string
+	Rev     uint64
+	Refs    []TaskRef
+}
 
 // VoidReply says which of them were on a machine already.
 type VoidReply struct {
@@ -113,7 +117,7 @@
 type Entry struct {
 	Machine  string
 	Host     string
-	Rev      uint64 // revision of the machine's key under this owner
+	Rev      uint64 // revision of this ownership
 	Ver      uint64
 	Type     string
 	Zone     string
--- a/placer/events.go
+++ b/placer/events.go
@@ -7,6 +7,7 @@
 
 	"robinstack/agent"
 	"robinstack/job"
+	"robinstack/statekv"
 	"robinstack/worker"
 )
 
@@ -96,6 +97,30 @@
 	}
 }
 
+// dropGone gives up tasks on machines whose keys have been removed, which is
+// done only once all on them is proven gone. Their owner may have died before
+// its last entry got here.
+func (p *Placer) dropGone() {
+	rev := p.mirror.Rev()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, refs := range p.on {
+		if _, ok := p.mirror.Get(statekv.MachinePrefix + name); ok {
+			continue
+		}
+		for ref := range refs {
+			j := p.jobs[ref.Job]
+			if j == nil {
+				delete(refs, ref)
+				continue
+			}
+			if ts := &j.tasks[ref.Index]; ts.status == placed && ts.attempt == ref.Attempt && ts.machine == name && rev > ts.rev {
+				p.lost(j, ref.Index)
+			}
+		}
+	}
+}
+
 func (p *Placer) noteOn(machine string, ref agent.TaskRef) {
 	if p.on[machine] == nil {
 		p.on[machine] = map[agent.TaskRef]bool{}
--- a/placer/place.go
+++ b/placer/place.go
@@ -484,7 +484,7 @@
 	for ctx.Err() == nil {
 		var reply agent.VoidReply
 		cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-		err := p.call.Call(cctx, c.Host, "Agent.Void", agent.VoidRequest{Refs: refs}, &reply)
+		err := p.call.Call(cctx, c.Host, "Agent.Void", agent.VoidRequest{Machine: c.Machine, Rev: c.Rev, Refs: refs}, &reply)
 		cancel()
 		p.mu.Lock()
 		waiting := false
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -85,6 +85,7 @@
 	epoch   uint64
 	cleared map[string]bool
 	settled bool
+	toldAt  time.Time // when the log last said what it waits for
 }
 
 // Placer holds the jobs of its slots. Its mutex guards all its state and is
@@ -167,6 +168,7 @@
 	every(100*time.Millisecond, p.flush)
 	every(200*time.Millisecond, p.sendStops)
 	every(time.Second, p.sendDemand)
+	every(2*time.Second, func(context.Context) { p.dropGone() })
 	tick := time.NewTicker(150 * time.Millisecond)
 	defer tick.Stop()
 	for ctx.Err() == nil {
@@ -332,7 +334,7 @@
 	}
 	keys := p.mirror.Dir(statekv.MachinePrefix)
 	for id, epoch := range open {
-		left := 0
+		left, first := 0, ""
 		for _, kv := range keys {
 			name := strings.TrimPrefix(kv.Key, statekv.MachinePrefix)
 			p.mu.Lock()
@@ -344,6 +346,7 @@
 			}
 			if !p.feed.SettledSince(kv, epoch) {
 				left++
+				first = name
 				continue
 			}
 			p.mu.Lock()
@@ -351,6 +354,12 @@
 			p.mu.Unlock()
 		}
 		if left > 0 {
+			p.mu.Lock()
+			if s := p.slots[id]; s != nil && time.Since(s.toldAt) > 5*time.Second {
+				s.toldAt = time.Now()
+				slog.Info("slot waits for machines to be checked", "slot", id, "machines", left, "one", first)
+			}
+			p.mu.Unlock()
 			continue
 		}
 		p.OnEntries(p.feed.Entries())
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -365,3 +365,33 @@
 		}
 	})
 }
+
+// A machine's key is removed once all on it is proven gone. If its owner dies
+// before its last entry has gone round, the placer must see it from the key: the
+// job waited for ever.
+func TestTasksOfARemovedMachineStartAgain(t *testing.T) {
+	story(t, func(w *world) {
+		owner := w.start("host-0")
+		w.run(3 * time.Second)
+		n := w.start("host-1")
+		w.run(2 * time.Second)
+		w.submit(n, spec("wk-1", job.Array, 1, 1))
+		w.run(2 * time.Second)
+		left, gone := w.boxes[0], w.boxes[1]
+		if len(left.Starts) > 0 {
+			left, gone = gone, left
+		}
+		if len(gone.Starts) != 1 {
+			t.Fatal("not started")
+		}
+		w.boxes = []*fakes.Worker{left}
+		if _, err := w.state.Txn(w.ctx, nil, []statekv.Op{{Delete: statekv.MachinePrefix + gone.Report.Machine}}); err != nil {
+			t.Fatal(err)
+		}
+		w.crash(owner, 1)
+		w.run(10 * time.Second)
+		if len(left.Starts) != 1 {
+			t.Fatal("the task was not started on the other machine")
+		}
+	})
+}
--- a/statekv/member.go
+++ b/statekv/member.go
@@ -20,6 +20,7 @@
 	NodePrefix    = FleetPrefix + "node/"
 	SlotPrefix    = FleetPrefix + "slot/"
 	MachinePrefix = FleetPrefix + "machine/"
+	ShardPrefix   = FleetPrefix + "shard/"
 	StewardKey    = FleetPrefix + "steward"
 	TypesKey      = FleetPrefix + "types"
 )
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -30,6 +30,7 @@
 	gangs    map[string]gangClass // classes of gangs seen lately
 	retry    []cloud.Rental       // rentals without an answer, to be repeated under their names
 	resumAt  time.Time
+	mute     int // machines that have not answered their new owners
 }
 
 // gangClass is a class of gangs for which room is kept ready.
@@ -159,6 +160,12 @@
 	var bins []*bin
 	idle := map[string]time.Duration{}
 	present := map[string]bool{}
+	f.mute = 0
+	for i := range entries {
+		if entries[i].Silent && !entries[i].Settled {
+			f.mute++
+		}
+	}
 	for _, e := range entries {
 		present[e.Machine] = true
 		delete(f.booting, e.Machine)
@@ -317,6 +324,11 @@
 		return "failed"
 	case e.Notice:
 		return "taken on notice"
+	case !e.Settled && f.mute <= max(2, len(s.ledger.held)/20):
+		// Jobs of a placer that died wait until it is known what runs there;
+		// deleting a machine is the fastest proof. If many do not answer, it is
+		// rather their owner or a zone that is cut off, and their work goes on.
+		return "does not answer its new owner"
 	case !ok && now.Sub(f.lastAt) < 10*time.Second && (!f.listed[e.Machine].IsZero() || now.Sub(f.silent[e.Machine]) > 2*s.settings.CloudListLag+2*time.Second):
 		// It has an owner, so it was up before it fell silent; by now even the
 		// oldest list that may come would show it. A new steward, which has
