Answer queries from the mirror after one shared read; see dead machines from one list

Now every controller mirrors the open records, polls share one request for the revision and answer from the mirror once it has caught up, adoption and learning read nothing, and the waiting slots say in the log which machine they wait for and why.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -39,7 +39,7 @@
 func start(t *testing.T, ctx context.Context, host string, state *fakes.State, workers *fakes.Workers) *node {
 	t.Helper()
 	ctx, stop := context.WithCancel(ctx)
-	mirror := statekv.NewMirror(state, statekv.FleetPrefix, statekv.RootPrefix, settings().WatchTime(), 0, func([]statekv.Event) {})
+	mirror := statekv.NewMirror(state, []string{statekv.FleetPrefix, job.OpenPrefix}, statekv.RootPrefix, settings().WatchTime(), 0, func([]statekv.Event) {})
 	if err := mirror.Load(ctx); err != nil {
 		t.Fatal(err)
 	}
@@ -495,3 +495,30 @@
 		}
 	})
 }
+
+// A machine that another controller claimed and lost again between two looks
+// came back under a later revision; the entry under the earlier one was taken
+// for unsettled for ever, and no slot that was adopted settled any more.
+func TestMachineThatCameBackIsTakenUpAnew(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		w := workers.Add("m1", "box", "a")
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		other := statekv.Holder{Host: "host-9", Instance: 1} // dead by the time it is seen
+		if _, err := state.Txn(ctx, nil, []statekv.Op{
+			{Set: statekv.ShardPrefix + "host-9.1.0", Value: agent.ShardKey{Holder: other}},
+			{Set: statekv.MachinePrefix + "m1", Value: agent.MachineKey{Shard: "host-9.1.0", Address: "m1", Type: "box", Zone: "a"}},
+		}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		kv, _ := n.mirror.Get(statekv.MachinePrefix + "m1")
+		_, rev := agent.Owner(n.mirror, kv)
+		if e := n.entries()["m1"]; e.Rev != rev || !e.Settled {
+			t.Fatalf("owned under revision %d: %+v", rev, e)
+		}
+	})
+}
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -125,14 +126,28 @@
 
 // SettledSince reports whether everything that may run on a machine, according
 // to its key, is in the latest entry, and its owner refuses commits that were
-// sent under epochs before the given one.
-func (f *Feed) SettledSince(kv statekv.KV, epoch uint64) bool {
+// sent under epochs before the given one. If not, it says why.
+func (f *Feed) SettledSince(kv statekv.KV, epoch uint64) (ok bool, why string) {
 	holder, rev := Owner(f.mirror, kv)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e, ok := f.entries[kv.Key[len(statekv.MachinePrefix):]]
+	e, known := f.entries[kv.Key[len(statekv.MachinePrefix):]]
 	a := f.acks[holder.Host]
-	return ok && e.Rev == rev && e.Settled && a.instance == holder.Instance && a.rev >= epoch
+	switch {
+	case holder.Host == "":
+		return false, "it has no owner"
+	case !known:
+		return false, "its owner " + holder.Host + " has not shown it"
+	case e.Rev != rev:
+		return false, fmt.Sprintf("the entry by %s is of revision %d, ownership by %s of %d", e.Host, e.Rev, holder.Host, rev)
+	case a.instance != holder.Instance:
+		return false, "its owner " + holder.Host + " has begun a new life"
+	case a.rev < epoch:
+		return false, "its owner " + holder.Host + " has not caught up"
+	case !e.Settled:
+		return false, "it has not answered its owner " + holder.Host
+	}
+	return true, ""
 }
 
 // PeersServed counts the other agents that reported lately that the state
--- a/agent/learn.go
+++ b/agent/learn.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"strings"
 	"time"
 
 	"robinstack/job"
@@ -31,10 +30,6 @@
 	}
 }
 
-// manyUnread is from how many jobs on all open records are listed, many to a
-// request, instead of being read one by one.
-const manyUnread = 6
-
 // runLearning reads the records of jobs whose tasks were found on machines, or
 // whose placer changed: what is over is stopped, the rest gets its needs.
 func (a *Agent) runLearning(ctx context.Context) {
@@ -69,31 +64,23 @@
 	}
 }
 
-// learn reads records and takes what was read out of ids.
+// learn finds the records and takes what was found out of ids.
 func (a *Agent) learn(ctx context.Context, ids map[string]bool) error {
 	found := map[string]*job.Record{}
-	for after, more := "", len(ids) >= manyUnread; more; {
-		page, err := a.store.List(ctx, job.OpenPrefix, after)
+	for id := range ids {
+		kv, ok := a.mirror.Get(job.OpenKey(id))
+		if !ok {
+			continue
+		}
+		rec, err := job.ParseRecord(kv.Value)
 		if err != nil {
 			return err
 		}
-		for _, kv := range page.Items {
-			after = kv.Key
-			if id := strings.TrimPrefix(kv.Key, job.OpenPrefix); ids[id] {
-				rec, err := job.ParseRecord(kv.Value)
-				if err != nil {
-					return err
-				}
-				found[id] = rec
-			}
-		}
-		more = page.More && len(page.Items) > 0
-	}
-	a.learned(found)
-	for id := range found {
+		found[id] = rec
 		delete(ids, id)
 	}
-	// What the list did not have is over, or came since: read it by itself.
+	a.learned(found)
+	// What the mirror does not have is over, or came just now: a read tells.
 	for id := range ids {
 		kv, err := a.store.Get(ctx, job.OpenKey(id))
 		var rec *job.Record
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -213,6 +213,11 @@
 		m := a.machines[name]
 		switch {
 		case holder == a.member.Holder:
+			if m != nil && rev > m.rev {
+				// It was another's in between: what we know of it is old.
+				a.release(m)
+				m = nil
+			}
 			if m == nil {
 				ours = append(ours, kv)
 			}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -82,14 +82,16 @@
 		pl *placer.Placer
 		st *steward.Steward
 	)
-	mirror := statekv.NewMirror(c.store, statekv.FleetPrefix, statekv.RootPrefix, c.settings.WatchTime(), c.settings.WatchPause(), func(events []statekv.Event) {
+	mirror := statekv.NewMirror(c.store, []string{statekv.FleetPrefix, job.OpenPrefix}, statekv.RootPrefix, c.settings.WatchTime(), c.settings.WatchPause(), func(events []statekv.Event) {
 		if events == nil {
-			go pl.Recheck(ctx)
+			pl.Recheck()
 			return
 		}
 		for _, e := range events {
 			if strings.HasPrefix(e.Key(), job.OpenPrefix) {
 				pl.OnJobEvent(e)
+			} else if id, ok := strings.CutPrefix(e.Set, job.FinalPrefix); ok {
+				c.gateway.OnFinal(id, e.Value)
 			} else if slot, ok := strings.CutPrefix(e.Set, statekv.SlotPrefix); ok {
 				ag.SlotMoved(slot)
 			}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -175,14 +175,43 @@
 	return s
 }
 
-// lookup finds a job's status with a read made now, so that no answer is older
-// than one that any controller has given.
+// OnFinal keeps the answer for a job that is over.
+func (g *Gateway) OnFinal(id string, value json.RawMessage) {
+	var f job.Final
+	if err := json.Unmarshal(value, &f); err != nil {
+		slog.Error("final record", "job", id, "err", err)
+		return
+	}
+	g.keepFinal(id, f)
+}
+
+// openRecord returns the record of an open job as of now, so that no answer is
+// older than one that any controller has given.
+func (g *Gateway) openRecord(ctx context.Context, id string) (statekv.KV, error) {
+	l := g.life.Load()
+	if l == nil {
+		return g.store.Get(ctx, job.OpenKey(id))
+	}
+	if err := l.Mirror.Sync(ctx); err != nil {
+		return statekv.KV{}, err
+	}
+	kv, ok := l.Mirror.Get(job.OpenKey(id))
+	if !ok {
+		return kv, statekv.ErrNotFound
+	}
+	return kv, nil
+}
+
+// lookup finds a job's status.
 func (g *Gateway) lookup(ctx context.Context, id string) (jobStatus, error) {
 	if f, ok := g.final(id); ok {
 		return finalStatus(id, f), nil
 	}
-	kv, err := g.store.Get(ctx, job.OpenKey(id))
+	kv, err := g.openRecord(ctx, id)
 	if errors.Is(err, statekv.ErrNotFound) {
+		if f, ok := g.final(id); ok {
+			return finalStatus(id, f), nil
+		}
 		f, err := job.ReadFinal(ctx, g.store, id)
 		if err != nil {
 			return jobStatus{}, err
@@ -193,12 +222,8 @@
 	if err != nil {
 		return jobStatus{}, err
 	}
-	rec, err := job.ParseRecord(kv.Value)
-	if err != nil {
-		return jobStatus{}, err
-	}
 	s := jobStatus{ID: id, Status: job.Queued}
-	s.Done, s.Running = g.counts(ctx, rec)
+	s.Done, s.Running = g.counts(ctx, id, kv)
 	if s.Running > 0 {
 		s.Status = job.Running
 	}
@@ -206,14 +231,19 @@
 }
 
 // counts asks the job's placer for the numbers on display.
-func (g *Gateway) counts(ctx context.Context, rec *job.Record) (done, running int) {
+func (g *Gateway) counts(ctx context.Context, id string, open statekv.KV) (done, running int) {
 	l := g.life.Load()
 	if l == nil {
 		return 0, 0
 	}
-	if done, running, ok := l.Placer.Counts(rec.Spec.ID); ok {
+	if done, running, ok := l.Placer.Counts(id); ok {
 		return done, running
 	}
+	rec, err := job.ParseRecord(open.Value)
+	if err != nil {
+		slog.Error("job record", "key", open.Key, "err", err)
+		return 0, 0
+	}
 	var h statekv.Holder
 	kv, ok := l.Mirror.Get(statekv.SlotPrefix + rec.Slot)
 	if !ok || json.Unmarshal(kv.Value, &h) != nil || h.Host == g.settings.Host || !l.Member.Alive(h) {
@@ -222,7 +252,7 @@
 	cctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
 	defer cancel()
 	var reply placer.CountsReply
-	if err := l.Call.Call(cctx, h.Host, "Placer.Counts", rec.Spec.ID, &reply); err != nil {
+	if err := l.Call.Call(cctx, h.Host, "Placer.Counts", id, &reply); err != nil {
 		return 0, 0
 	}
 	return reply.Done, reply.Running
@@ -308,7 +338,7 @@
 		if l == nil {
 			return later(c, "starting")
 		}
-		kv, err := g.store.Get(ctx, job.OpenKey(id))
+		kv, err := g.openRecord(ctx, id)
 		if errors.Is(err, statekv.ErrNotFound) {
 			f, err := job.ReadFinal(ctx, g.store, id)
 			if errors.Is(err, statekv.ErrNotFound) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -200,8 +200,13 @@
 	if !p.member.Certain() {
 		return
 	}
-	keys := p.mirror.Dir(statekv.SlotPrefix)
-	for _, kv := range keys {
+	p.mu.Lock()
+	none := p.home == ""
+	p.mu.Unlock()
+	if none { // first, for users wait for it
+		p.takeSlot(ctx, fmt.Sprintf("%s.%d", p.member.Host, p.member.Instance), 0)
+	}
+	for _, kv := range p.mirror.Dir(statekv.SlotPrefix) {
 		id := strings.TrimPrefix(kv.Key, statekv.SlotPrefix)
 		var h statekv.Holder
 		p.mu.Lock()
@@ -212,12 +217,6 @@
 		}
 		p.takeSlot(ctx, id, kv.Rev)
 	}
-	p.mu.Lock()
-	none := p.home == ""
-	p.mu.Unlock()
-	if none {
-		p.takeSlot(ctx, fmt.Sprintf("%s.%d", p.member.Host, p.member.Instance), 0)
-	}
 	p.settleSlots(ctx)
 }
 
@@ -229,6 +228,10 @@
 		slog.Debug("taking a slot", "slot", id, "err", err)
 		return
 	}
+	// From here on the mirror has every record that the earlier placer wrote.
+	if p.mirror.Wait(ctx, epoch) != nil {
+		return
+	}
 	if seen != 0 {
 		for err = p.loadSlot(ctx, id); err != nil && ctx.Err() == nil; err = p.loadSlot(ctx, id) {
 			slog.Warn("loading a slot's jobs", "slot", id, "err", err)
@@ -238,9 +241,6 @@
 			}
 		}
 	}
-	if p.mirror.Wait(ctx, epoch) != nil {
-		return
-	}
 	p.mu.Lock()
 	p.slots[id] = &slotState{epoch: epoch, cleared: map[string]bool{}, settled: seen == 0}
 	if p.home == "" {
@@ -255,31 +255,22 @@
 	}
 }
 
-// loadSlot reads the unfinished jobs of a slot that was another's.
+// loadSlot takes up the unfinished jobs of a slot that was another's.
 func (p *Placer) loadSlot(ctx context.Context, id string) error {
-	for after := ""; ; {
-		page, err := p.store.List(ctx, job.OpenPrefix, after)
+	for _, kv := range p.mirror.Dir(job.OpenPrefix) {
+		rec, err := job.ParseRecord(kv.Value)
 		if err != nil {
-			return fmt.Errorf("listing open jobs: %w", err)
+			slog.Error("job record", "key", kv.Key, "err", err)
+			continue
 		}
-		for _, kv := range page.Items {
-			after = kv.Key
-			rec, err := job.ParseRecord(kv.Value)
-			if err != nil {
-				slog.Error("job record", "key", kv.Key, "err", err)
-				continue
-			}
-			if rec.Slot != id {
-				continue
-			}
-			if err := p.load(ctx, rec, kv.Rev, false); err != nil {
-				return err
-			}
+		if rec.Slot != id {
+			continue
 		}
-		if !page.More || len(page.Items) == 0 {
-			return nil
+		if err := p.load(ctx, rec, kv.Rev, false); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // load takes up a job from its record.
@@ -334,7 +325,7 @@
 	}
 	keys := p.mirror.Dir(statekv.MachinePrefix)
 	for id, epoch := range open {
-		left, first := 0, ""
+		left, one, reason := 0, "", ""
 		for _, kv := range keys {
 			name := strings.TrimPrefix(kv.Key, statekv.MachinePrefix)
 			p.mu.Lock()
@@ -344,9 +335,9 @@
 			if done {
 				continue
 			}
-			if !p.feed.SettledSince(kv, epoch) {
+			if ok, why := p.feed.SettledSince(kv, epoch); !ok {
 				left++
-				first = name
+				one, reason = name, why
 				continue
 			}
 			p.mu.Lock()
@@ -357,7 +348,7 @@
 			p.mu.Lock()
 			if s := p.slots[id]; s != nil && time.Since(s.toldAt) > 5*time.Second {
 				s.toldAt = time.Now()
-				slog.Info("slot waits for machines to be checked", "slot", id, "machines", left, "one", first)
+				slog.Info("slot waits for machines to be checked", "slot", id, "machines", left, "one", one, "why", reason)
 			}
 			p.mu.Unlock()
 			continue
@@ -462,22 +453,15 @@
 	p.dropIfOver(id, j)
 }
 
-// Recheck reads the records of all jobs after a gap in the watch.
-func (p *Placer) Recheck(ctx context.Context) {
+// Recheck looks for jobs whose end was missed in a gap of the watch.
+func (p *Placer) Recheck() {
+	rev := p.mirror.Rev()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	clear(p.others)
-	ids := make([]string, 0, len(p.jobs))
-	for id := range p.jobs {
-		ids = append(ids, id)
-	}
-	p.mu.Unlock()
-	for _, id := range ids {
-		if _, err := p.store.Get(ctx, job.OpenKey(id)); errors.Is(err, statekv.ErrNotFound) {
-			p.mu.Lock()
-			if j := p.jobs[id]; j != nil {
-				p.cancel(id, j)
-			}
-			p.mu.Unlock()
+	for id, j := range p.jobs {
+		if _, open := p.mirror.Get(job.OpenKey(id)); !open && rev >= j.rev {
+			p.cancel(id, j)
 		}
 	}
 }
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -84,7 +84,7 @@
 		State:   config.State{RPS: 100, WriteRPS: 50, ValueBytes: 8192, TxnOps: 24}}
 	ctx, stop := context.WithCancel(w.ctx)
 	n := &node{host: host, stop: stop, up: true}
-	mirror := statekv.NewMirror(w.state, statekv.FleetPrefix, statekv.RootPrefix, time.Second, 0, func(events []statekv.Event) {
+	mirror := statekv.NewMirror(w.state, []string{statekv.FleetPrefix, job.OpenPrefix}, statekv.RootPrefix, time.Second, 0, func(events []statekv.Event) {
 		for _, e := range events {
 			n.placer.OnJobEvent(e)
 		}
--- a/statekv/client.go
+++ b/statekv/client.go
@@ -118,7 +118,7 @@
 )
 
 // shares are the parts of a controller's changes that each kind may use.
-var shares = [...]float64{Claims: 0.7, Chores: 0.3}
+var shares = [...]float64{Claims: 0.7, Chores: 0.5}
 
 // Client talks to the state service over HTTP and keeps this controller's
 // share of the service's limits.
--- a/statekv/mirror.go
+++ b/statekv/mirror.go
@@ -5,18 +5,19 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 )
 
-// Mirror keeps a copy of the keys under one prefix and passes on the changes
+// Mirror keeps a copy of the keys under some prefixes and passes on the changes
 // of a wider one. What it holds is old by the time it is read; the revision
 // says how old.
 type Mirror struct {
 	store  Store
-	keep   string // prefix of the keys that are kept
-	follow string // prefix of the changes that are followed
+	keep   []string // prefixes of the keys that are kept
+	follow string   // prefix of the changes that are followed
 	block  time.Duration
 	pause  time.Duration // least time between two watches: each counts as a request
 	onNews func([]Event)
@@ -31,12 +32,22 @@
 	fresh  time.Time                // when the request that last showed the present was sent
 	loaded bool
 	moved  chan struct{} // closed and replaced whenever rev grows
+	sync   *barrier      // the next one, that those who come now wait for
+	busy   bool          // whether one is under way
+}
+
+// barrier is a question for the state service's revision that all who came
+// before it was asked share.
+type barrier struct {
+	done chan struct{}
+	rev  uint64
+	err  error
 }
 
 // NewMirror returns a mirror whose watches wait for at most block and are at
 // least pause apart; onNews, called from one goroutine, gets every change after
 // the first load and, after a gap in the watch, nil.
-func NewMirror(store Store, keep, follow string, block, pause time.Duration, onNews func([]Event)) *Mirror {
+func NewMirror(store Store, keep []string, follow string, block, pause time.Duration, onNews func([]Event)) *Mirror {
 	return &Mirror{store: store, keep: keep, follow: follow, block: block, pause: pause, onNews: onNews, dirs: map[string]map[string]KV{}, moved: make(chan struct{})}
 }
 
@@ -59,22 +70,22 @@
 	sent := time.Now()
 	dirs := map[string]map[string]KV{}
 	var rev uint64
-	for after := ""; ; {
-		p, err := m.store.List(ctx, m.keep, after)
-		if err != nil {
-			return err
-		}
-		if rev == 0 {
-			// Later pages may be newer; following from the first page's
-			// revision applies their changes again, which is harmless.
-			rev = p.Rev
-		}
-		for _, kv := range p.Items {
-			m.put(dirs, kv)
-			after = kv.Key
-		}
-		if !p.More || len(p.Items) == 0 {
-			break
+	for _, prefix := range m.keep {
+		for after, more := "", true; more; {
+			p, err := m.store.List(ctx, prefix, after)
+			if err != nil {
+				return err
+			}
+			if rev == 0 {
+				// Later pages may be newer; following from the first page's
+				// revision applies their changes again, which is harmless.
+				rev = p.Rev
+			}
+			for _, kv := range p.Items {
+				m.put(dirs, kv)
+				after = kv.Key
+			}
+			more = p.More && len(p.Items) > 0
 		}
 	}
 	m.mu.Lock()
@@ -123,7 +134,7 @@
 	defer m.mu.Unlock()
 	for _, e := range news.Events {
 		key := e.Key()
-		if !strings.HasPrefix(key, m.keep) || m.dirs[dirOf(key)][key].Rev >= e.Rev {
+		if !m.keeps(key) || m.dirs[dirOf(key)][key].Rev >= e.Rev {
 			continue
 		}
 		if e.Set != "" {
@@ -140,6 +151,54 @@
 	}
 }
 
+func (m *Mirror) keeps(key string) bool {
+	return slices.ContainsFunc(m.keep, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
+}
+
+// Sync returns once the mirror shows all that was so when Sync was called: what
+// it shows then is as good as a read made now. However many ask, one request
+// at a time goes to the state service.
+func (m *Mirror) Sync(ctx context.Context) error {
+	m.mu.Lock()
+	if m.sync == nil {
+		m.sync = &barrier{done: make(chan struct{})}
+	}
+	b := m.sync
+	if !m.busy {
+		m.busy = true
+		go m.ask()
+	}
+	m.mu.Unlock()
+	select {
+	case <-b.done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if b.err != nil {
+		return b.err
+	}
+	return m.Wait(ctx, b.rev)
+}
+
+// ask asks for the revision for as long as somebody waits.
+func (m *Mirror) ask() {
+	for {
+		m.mu.Lock()
+		b := m.sync
+		m.sync, m.busy = nil, b != nil
+		m.mu.Unlock()
+		if b == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+		p, err := m.store.List(ctx, NodePrefix, "")
+		cancel()
+		b.rev, b.err = p.Rev, err
+		close(b.done)
+		time.Sleep(m.pause / 2) // those who come meanwhile share the next one
+	}
+}
+
 // Get returns a key as last seen.
 func (m *Mirror) Get(key string) (KV, bool) {
 	m.mu.Lock()
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -23,6 +23,7 @@
 	listed   map[string]time.Time // when a list showed it first
 	last     map[string]cloud.Machine
 	lastAt   time.Time
+	lastName string             // the machine created last that the last list shows
 	shut     map[pool]time.Time // pools that refused, until when
 	silent   map[string]time.Time
 	deleted  map[string]time.Time
@@ -30,7 +31,8 @@
 	gangs    map[string]gangClass // classes of gangs seen lately
 	retry    []cloud.Rental       // rentals without an answer, to be repeated under their names
 	resumAt  time.Time
-	mute     int // machines that have not answered their new owners
+	mute     int      // machines that have not answered their new owners
+	untold   []string // deleted machines of whose end their owners do not know
 }
 
 // gangClass is a class of gangs for which room is kept ready.
@@ -97,9 +99,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := &s.fleet
-	f.last, f.lastAt = map[string]cloud.Machine{}, now
+	f.last, f.lastAt, f.lastName = map[string]cloud.Machine{}, now, ""
 	for _, m := range machines {
 		f.last[m.Name] = m
+		f.lastName = max(f.lastName, m.Name)
 		if f.listed[m.Name].IsZero() {
 			f.listed[m.Name] = now
 		}
@@ -144,6 +147,10 @@
 			calls.Go(func() { s.rent(ctx, r) })
 		}
 		calls.Wait()
+		s.mu.Lock()
+		untold := s.fleet.untold
+		s.mu.Unlock()
+		s.tellOwners(ctx, untold)
 		s.giveBack(ctx, returns)
 		s.remove(ctx, deletes)
 	}
@@ -160,7 +167,7 @@
 	var bins []*bin
 	idle := map[string]time.Duration{}
 	present := map[string]bool{}
-	f.mute = 0
+	f.mute, f.untold = 0, nil
 	for i := range entries {
 		if entries[i].Silent && !entries[i].Settled {
 			f.mute++
@@ -169,8 +176,13 @@
 	for _, e := range entries {
 		present[e.Machine] = true
 		delete(f.booting, e.Machine)
-		if !f.deleted[e.Machine].IsZero() {
-			continue // its key is still to be removed
+		if at := f.deleted[e.Machine]; !at.IsZero() {
+			// Its key is still to be removed. An owner that took over since then
+			// has to be told.
+			if !e.Draining && now.Sub(at) > 2*time.Second {
+				f.untold = append(f.untold, e.Machine)
+			}
+			continue
 		}
 		if lost := s.isLost(&e, now); lost != "" {
 			slog.Info("machine lost", "machine", e.Machine, "why", lost)
@@ -329,10 +341,10 @@
 		// deleting a machine is the fastest proof. If many do not answer, it is
 		// rather their owner or a zone that is cut off, and their work goes on.
 		return "does not answer its new owner"
-	case !ok && now.Sub(f.lastAt) < 10*time.Second && (!f.listed[e.Machine].IsZero() || now.Sub(f.silent[e.Machine]) > 2*s.settings.CloudListLag+2*time.Second):
-		// It has an owner, so it was up before it fell silent; by now even the
-		// oldest list that may come would show it. A new steward, which has
-		// seen no earlier list, can tell only from this.
+	case !ok && now.Sub(f.lastAt) < 10*time.Second && (e.Machine < f.lastName || !f.listed[e.Machine].IsZero() || now.Sub(f.silent[e.Machine]) > 2*s.settings.CloudListLag+2*time.Second):
+		// It has an owner, so it was up before it fell silent. A list that shows
+		// a machine created later, or has shown this one, or is younger than
+		// lists may lag, would show it if it were still there.
 		return "no longer listed"
 	case now.Sub(f.silent[e.Machine]) > s.settings.GoneAfter():
 		return "silent for longer than its lease"
@@ -404,18 +416,23 @@
 			s.fleet.deleted[name] = time.Now()
 		}
 		s.mu.Unlock()
-		byHost := map[string][]string{}
-		for _, name := range chunk {
-			if host, ok := s.feed.Owner(name); ok {
-				byHost[host] = append(byHost[host], name)
-			}
+		s.tellOwners(ctx, chunk)
+	}
+}
+
+// tellOwners tells the owners of machines that the cloud has deleted them.
+func (s *Steward) tellOwners(ctx context.Context, names []string) {
+	byHost := map[string][]string{}
+	for _, name := range names {
+		if host, ok := s.feed.Owner(name); ok {
+			byHost[host] = append(byHost[host], name)
 		}
-		for host, names := range byHost {
-			cctx, cancel := context.WithTimeout(ctx, 3*time.Second)
-			if err := s.call.Call(cctx, host, "Agent.Removed", agent.MachinesRequest{Names: names}, &agent.MachinesReply{}); err != nil {
-				slog.Debug("telling an owner of deleted machines", "host", host, "err", err)
-			}
-			cancel()
+	}
+	for host, names := range byHost {
+		cctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+		if err := s.call.Call(cctx, host, "Agent.Removed", agent.MachinesRequest{Names: names}, &agent.MachinesReply{}); err != nil {
+			slog.Debug("telling an owner of deleted machines", "host", host, "err", err)
 		}
+		cancel()
 	}
 }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -123,7 +123,7 @@
 	left := 0
 	for _, kv := range s.mirror.Dir(statekv.MachinePrefix) {
 		name := strings.TrimPrefix(kv.Key, statekv.MachinePrefix)
-		ok := s.feed.SettledSince(kv, epoch)
+		ok, _ := s.feed.SettledSince(kv, epoch)
 		s.mu.Lock()
 		if ok {
 			s.cleared[name] = true
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -31,7 +31,7 @@
 	if _, err := state.Txn(ctx, nil, []statekv.Op{{Set: statekv.MachinePrefix + "m1", Value: machine}}); err != nil {
 		t.Fatal(err)
 	}
-	mirror := statekv.NewMirror(state, statekv.FleetPrefix, statekv.RootPrefix, time.Second, 0, func([]statekv.Event) {})
+	mirror := statekv.NewMirror(state, []string{statekv.FleetPrefix, job.OpenPrefix}, statekv.RootPrefix, time.Second, 0, func([]statekv.Event) {})
 	if err := mirror.Load(ctx); err != nil {
 		t.Fatal(err)
 	}
@@ -113,6 +113,11 @@
 		if s.isLost(&e, time.Now()) == "" {
 			t.Fatal("still waited for")
 		}
+		e.Machine = "m2"
+		s.onList([]cloud.Machine{{Name: "m3", Type: "box", Status: "running"}}, time.Now())
+		if s.isLost(&e, time.Now()) == "" {
+			t.Fatal("a list that shows a younger machine would show this one")
+		}
 	})
 }
 
