Make room in one zone for gangs; keep what is free for them; rent for what turnover won't serve

Cause (fleet totals in the log): a one-zone gang with some free machines in every zone but not enough in any had no room made and waited; room found was taken by others while tasks elsewhere saved.

--- a/agent/clear.go
+++ b/agent/clear.go
@@ -121,6 +121,9 @@
 	m.claimedBy, m.claimedUntil = r.Spec.ID, now.Add(longest+claimTime)
 	m.wake()
 	reply.Verdicts[0] = Held
+	if len(stop) == 0 {
+		return nil // only kept
+	}
 	slog.Info("machine is being cleared", "machine", m.name, "for", r.Spec.ID, "stopped", len(stop), "cost", cost)
 	return nil
 }
--- a/agent/sample.go
+++ b/agent/sample.go
@@ -74,9 +74,14 @@
 			continue
 		}
 		room.add(m.zone, n)
+		image := m.imageState(r.Spec.Image)
+		kept := 0.0
+		if m.claimedBy == r.Spec.ID && now.Before(m.claimedUntil) {
+			kept = keptScore
+		}
 		found = append(found, Candidate{
-			Machine: m.name, Host: a.member.Host, Rev: m.rev, Zone: m.zone, Fits: n,
-			Score: score(job.Capacity(types[m.typeName]), free, r.Spec.Need, m.imageState(r.Spec.Image), cheapness(types, &r.Spec, m.typeName, m.spot)),
+			Machine: m.name, Host: a.member.Host, Rev: m.rev, Zone: m.zone, Fits: n, Image: image,
+			Score: kept + score(job.Capacity(types[m.typeName]), free, r.Spec.Need, image, cheapness(types, &r.Spec, m.typeName, m.spot)),
 		})
 	}
 	reply.Exhausted = len(found) < wanted
@@ -150,6 +155,9 @@
 	})
 }
 
+// keptScore puts machines that were cleared for the job before all others.
+const keptScore = 1000
+
 // score sums the Score plugins: the machine left fullest (0 to 100), the image
 // already there (100) or on its way, and how cheap the place is (0 to 150). The last leaves
 // dear machines idle, so that they are returned, and ordinary ones to jobs that
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -25,7 +25,8 @@
 	Host    string
 	Rev     uint64
 	Zone    string
-	Fits    int // how many of the job's tasks have room
+	Fits    int     // how many of the job's tasks have room
+	Image   float64 // 1: the machine has the image; less: it is on its way
 	Score   float64
 }
 
--- a/placer/place.go
+++ b/placer/place.go
@@ -151,15 +151,22 @@
 
 	candidates := p.sample(ctx, req)
 	rank(candidates)
+	var lists [][]agent.Candidate
+	zone, apart := "", false
 	if spec.OneZone && req.Zones == nil && len(candidates) > 0 {
-		zone := candidates[0].Zone
+		zone = candidates[0].Zone
 		if spec.Shape == job.Gang {
+			// Where no zone has room for all of it, room is made in one.
 			zone = gangZone(candidates, len(indices))
+			apart = zone == ""
 		}
-		candidates = inZone(candidates, zone)
-		req.Zones = []string{zone}
 	}
-	lists := plan(candidates, len(indices), p.policy.MultiBind)
+	if zone != "" {
+		candidates, req.Zones = inZone(candidates, zone), []string{zone}
+	}
+	if !apart {
+		lists = plan(candidates, len(indices), p.policy.MultiBind)
+	}
 	if spec.Spread {
 		lists = spreadOut(lists, others, (spec.Tasks+1)/2)
 	}
@@ -222,18 +229,29 @@
 	options := p.ask(ctx, "Agent.Clearable", req)
 	rank(options)
 	chosen := chooseCleared(j.spec.OneZone, candidates, options, n)
-	for _, c := range chosen {
-		var reply agent.CommitReply
-		cctx, cancel := context.WithTimeout(ctx, time.Second)
-		err := p.call.Call(cctx, c.Host, "Agent.Clear", agent.CommitRequest{Request: req, Machine: c.Machine, Rev: c.Rev}, &reply)
-		cancel()
-		if err != nil {
-			slog.Debug("clearing a machine", "machine", c.Machine, "err", err)
-		}
-	}
 	if len(chosen) == 0 {
 		return false
 	}
+	// Room found already is kept too: while tasks elsewhere save, others would
+	// take it, and more would have to be cleared.
+	for left, k := n-len(chosen), 0; left > 0 && k < len(candidates); k++ {
+		if c := candidates[k]; !j.spec.OneZone || c.Zone == chosen[0].Zone {
+			chosen = append(chosen, c)
+			left -= c.Fits
+		}
+	}
+	var calls sync.WaitGroup
+	for _, c := range chosen {
+		calls.Go(func() {
+			var reply agent.CommitReply
+			cctx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			if err := p.call.Call(cctx, c.Host, "Agent.Clear", agent.CommitRequest{Request: req, Machine: c.Machine, Rev: c.Rev}, &reply); err != nil {
+				slog.Debug("clearing a machine", "machine", c.Machine, "err", err)
+			}
+		})
+	}
+	calls.Wait()
 	j.clearUntil = time.Now().Add(clearPause)
 	soon()
 	return true
@@ -465,7 +483,7 @@
 				if j.over != "" {
 					p.stopTask(j, b.ref.Index, 0)
 				}
-				slog.Info("task committed", "task", job.TaskID(b.ref.Job, b.ref.Index), "attempt", b.ref.Attempt, "machine", c.Machine, "verdict", b.verdict, "age", time.Since(j.submitted).Round(time.Millisecond))
+				slog.Info("task committed", "task", job.TaskID(b.ref.Job, b.ref.Index), "attempt", b.ref.Attempt, "machine", c.Machine, "verdict", b.verdict, "image", c.Image, "age", time.Since(j.submitted).Round(time.Millisecond))
 			}
 		case b.verdict == agent.Refused && mine && ts.status == placed:
 			// The feed was faster: it has shown the task; it will show its end.
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -395,3 +395,25 @@
 		}
 	})
 }
+
+// A gang that must be in one zone has room made there also when every zone has
+// some room but none enough: it waited for as long as that lasted.
+func TestGangInOneZoneHasRoomMade(t *testing.T) {
+	story(t, func(w *world) {
+		w.boxes = append(w.boxes, w.workers.Add("m3", "box", "a"))
+		n := w.start("host-0")
+		w.run(3 * time.Second)
+		small := spec("wk-1", job.Array, 2, 1)
+		zone := "a"
+		small.Zone = &zone
+		w.submit(n, small)
+		w.run(4 * time.Second)
+		gang := spec("wk-2", job.Gang, 2, 2)
+		gang.OneZone, gang.Rank = true, "high"
+		w.submit(n, gang)
+		w.run(15 * time.Second)
+		if got := w.starts(); got["wk-2/0"] != 1 || got["wk-2/1"] != 1 {
+			t.Fatalf("the gang was not started: %v", got)
+		}
+	})
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,7 +35,7 @@
 
 // Default returns the policy that holds where operators set nothing.
 func Default() *Policy {
-	return &Policy{SampleControllers: 1, SampleMachines: 0.04, SampleLeast: 48, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 40 * time.Second, WarmGangs: 2, Preempt: true}
+	return &Policy{SampleControllers: 1, SampleMachines: 0.04, SampleLeast: 48, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 25 * time.Second, WarmGangs: 2, Preempt: true}
 }
 
 // jobEnv is what queue_order can refer to.
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -31,8 +32,10 @@
 	gangs    map[string]gangClass // classes of gangs seen lately
 	retry    []cloud.Rental       // rentals without an answer, to be repeated under their names
 	resumAt  time.Time
-	mute     int      // machines that have not answered their new owners
-	untold   []string // deleted machines of whose end their owners do not know
+	toldAt   time.Time          // when the log last had the totals
+	lows     map[pool]*lowWater // idle machines of each pool
+	mute     int                // machines that have not answered their new owners
+	untold   []string           // deleted machines of whose end their owners do not know
 }
 
 // gangClass is a class of gangs for which room is kept ready.
@@ -51,7 +54,7 @@
 
 func newFleet() fleet {
 	return fleet{booting: map[string]boot{}, listed: map[string]time.Time{}, last: map[string]cloud.Machine{}, shut: map[pool]time.Time{},
-		gangs: map[string]gangClass{}, silent: map[string]time.Time{}, deleted: map[string]time.Time{}}
+		gangs: map[string]gangClass{}, lows: map[pool]*lowWater{}, silent: map[string]time.Time{}, deleted: map[string]time.Time{}}
 }
 
 // runList reads the cloud's list and prices from time to time.
@@ -242,6 +245,7 @@
 		bins = append(bins, &bin{name: name, typeName: b.typeName, zone: b.zone, spot: b.spot, free: job.Capacity(t), empty: true})
 	}
 	var demands []Demand
+	var turn turnover
 	for host, d := range s.demand {
 		if now.Sub(d.at) > 15*time.Second {
 			delete(s.demand, host)
@@ -251,6 +255,7 @@
 			if j.Spec.Shape == job.Gang && j.Spec.Priority() > job.LowestPriority {
 				f.gangs[j.Spec.Class] = gangClass{j.Spec, now}
 			}
+			turn.add(&j)
 			if j.Waiting > 0 {
 				demands = append(demands, j)
 			}
@@ -259,7 +264,7 @@
 	demands = append(s.withinLimits(demands), s.warmDemand(now)...)
 	rentals = append(rentals, f.retry...)
 	f.retry = nil
-	rent := packing(demands, bins, offers(types, func(p pool) bool { return now.Before(f.shut[p]) }), maxRentals*maxHire)
+	rent := packing(demands, bins, turn, offers(types, func(p pool) bool { return now.Before(f.shut[p]) }), maxRentals*maxHire)
 	for p, n := range rent {
 		// What a repeated rental may bring yet is not rented once more.
 		for _, r := range rentals {
@@ -272,12 +277,94 @@
 			rentals = append(rentals, cloud.Rental{Request: fmt.Sprintf("r-%d-%d", s.epoch, f.requests), Type: p.typeName, Zone: p.zone, Spot: p.spot, Count: min(n, maxHire)})
 		}
 	}
+	if now.Sub(f.toldAt) > 10*time.Second {
+		f.toldAt = now
+		s.tellFleet(bins, demands, len(f.booting))
+	}
+	return rentals, append(returns, s.spare(bins, idle, now)...), deletes
+}
+
+// tellFleet logs the totals that renting and returning go by.
+func (s *Steward) tellFleet(bins []*bin, demands []Demand, booting int) {
+	empty, planned, waiting := 0, 0, 0
+	free := 0.0
+	for _, b := range bins {
+		free += b.free.GPUs
+		if b.empty {
+			empty++
+			if b.used {
+				planned++
+			}
+		}
+	}
+	for _, d := range demands {
+		waiting += d.Waiting
+	}
+	slog.Info("fleet", "machines", len(bins)-booting, "booting", booting, "empty", empty, "empty_planned_for", planned, "gpus_left", free, "tasks_waiting", waiting)
+}
+
+// spare names the machines to return. In a large fleet each machine gets a task
+// now and then, so that none is idle for long although many are at any moment:
+// of a pool, as many are spare as were idle all the time, whichever they were.
+// Those that have been idle longest go.
+func (s *Steward) spare(bins []*bin, idle map[string]time.Duration, now time.Time) []string {
+	names := map[pool][]string{}
 	for _, b := range bins {
-		if d, ok := idle[b.name]; ok && !b.used && d > s.policy.IdleReturn {
-			returns = append(returns, b.name)
+		p := pool{b.typeName, b.zone, b.spot}
+		if _, known := names[p]; !known {
+			names[p] = nil
+		}
+		if _, ok := idle[b.name]; ok && !b.used {
+			names[p] = append(names[p], b.name)
+		}
+	}
+	var out []string
+	for p, idlers := range names {
+		low := s.fleet.lows[p]
+		if low == nil {
+			low = &lowWater{}
+			s.fleet.lows[p] = low
+		}
+		n := low.add(now, len(idlers), s.policy.IdleReturn)
+		slices.SortFunc(idlers, func(a, b string) int {
+			return cmp.Or(cmp.Compare(idle[b], idle[a]), cmp.Compare(a, b))
+		})
+		out = append(out, idlers[:n]...)
+		low.lower(n)
+	}
+	for p := range s.fleet.lows {
+		if _, known := names[p]; !known {
+			delete(s.fleet.lows, p)
 		}
 	}
-	return rentals, returns, deletes
+	return out
+}
+
+// lowWater tells how many there were at least during a span of time.
+type lowWater struct {
+	counts []int
+	times  []time.Time
+}
+
+// add takes note of a count and returns the least over the span, or 0 as long
+// as it has not been watched for that time.
+func (l *lowWater) add(now time.Time, n int, span time.Duration) int {
+	l.counts, l.times = append(l.counts, n), append(l.times, now)
+	full := now.Sub(l.times[0]) >= span
+	for len(l.times) > 1 && now.Sub(l.times[1]) >= span {
+		l.counts, l.times = l.counts[1:], l.times[1:]
+	}
+	if !full {
+		return 0
+	}
+	return slices.Min(l.counts)
+}
+
+// lower takes those that are returned out of what was counted.
+func (l *lowWater) lower(n int) {
+	for i := range l.counts {
+		l.counts[i] -= n
+	}
 }
 
 // warmDemand asks for room for the next gangs: of whole machines there is
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -151,9 +151,67 @@
 // unrentable puts zones without machines to rent behind all others.
 const unrentable = job.MaxTasks
 
+// turnover is what tasks of arrays that run leave free in time: a job whose
+// deadline is far enough off waits for that instead of for new machines.
+type turnover struct {
+	perSecond float64 // places that come free, by size
+	promised  float64
+}
+
+// Of what should come free some goes to gangs, and estimates are guesses.
+const turnoverShare = 0.8
+
+// placeSize compares places of different needs.
+func placeSize(need job.Need) float64 {
+	if need.GPUs > 0 {
+		return need.GPUs
+	}
+	return need.CPUs / 8
+}
+
+// add counts a job's running tasks.
+func (t *turnover) add(d *Demand) {
+	if d.Spec.Shape == job.Array && d.Spec.EstimateS > 0 {
+		t.perSecond += float64(d.Running) * placeSize(d.Spec.Need) / (d.Spec.EstimateS + fetchGuess)
+	}
+}
+
+// fetchGuess is the time in seconds that a task may wait for its image.
+const fetchGuess = 15
+
+// Times in seconds: that a machine takes to come up, and that a job which is
+// hopelessly late may wait for places to come free.
+const (
+	bootGuess = 40
+	lateSlack = 60
+)
+
+// serve returns how many of so many tasks can wait for places that come free.
+func (t *turnover) serve(d *Demand, tasks int) int {
+	if d.Spec.Shape != job.Array || d.Spec.DeadlineS == nil || d.Spec.EstimateS <= 0 {
+		return 0
+	}
+	size := placeSize(d.Spec.Need)
+	slack := *d.Spec.DeadlineS - d.AgeS - 1.2*d.Spec.EstimateS - fetchGuess
+	if slack < bootGuess {
+		// A machine rented now would come too late. Half the time over is
+		// better than never; beyond that nothing is to be won by renting.
+		slack += *d.Spec.DeadlineS / 2
+	}
+	if slack < bootGuess {
+		slack = lateSlack
+	}
+	n := min(tasks, int((turnoverShare*t.perSecond*slack-t.promised)/max(size, 1e-3)))
+	if n <= 0 {
+		return 0
+	}
+	t.promised += float64(n) * size
+	return n
+}
+
 // packing puts waiting tasks into bins and says what to rent for the rest.
 // bins are marked used where something was put.
-func packing(demands []Demand, bins []*bin, onOffer []offer, most int) map[pool]int {
+func packing(demands []Demand, bins []*bin, turn turnover, onOffer []offer, most int) map[pool]int {
 	slices.SortStableFunc(demands, func(a, b Demand) int {
 		return cmp.Or(cmp.Compare(b.Spec.Priority(), a.Spec.Priority()), cmp.Compare(b.Spec.GPUs*1e6+b.AgeS, a.Spec.GPUs*1e6+a.AgeS))
 	})
@@ -177,7 +235,9 @@
 		if d.Spec.OneZone && d.Spec.Shape == job.Gang {
 			zone = p.zoneFor(&d.Spec, left, zones)
 		}
-		p.hire(&d.Spec, zone, p.fill(&d.Spec, zone, left, false))
+		if left = p.fill(&d.Spec, zone, left, false); left > 0 {
+			p.hire(&d.Spec, zone, left-turn.serve(d, left))
+		}
 	}
 	return p.rent
 }
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -151,15 +151,24 @@
 	}
 	d := []Demand{{Spec: job.Spec{Need: job.Need{CPUs: 6, GPUs: 1, MemoryGB: 48}, Spot: true, Rank: "normal"}, Waiting: 10}}
 	bins := []*bin{{name: "m1", typeName: "small", zone: "a", free: job.Need{CPUs: 24, GPUs: 4, MemoryGB: 96}}}
-	rent := packing(d, bins, offers(types, func(pool) bool { return false }), 20)
+	rent := packing(d, bins, turnover{}, offers(types, func(pool) bool { return false }), 20)
 	if len(rent) != 1 || rent[pool{"big", "a", true}] != 1 || !bins[0].used {
 		t.Fatalf("two on the machine there, eight on one big spot machine: %v", rent)
 	}
 	d[0].Spec.Spot = false
-	rent = packing(d, nil, offers(types, func(pool) bool { return false }), 20)
+	rent = packing(d, nil, turnover{}, offers(types, func(pool) bool { return false }), 20)
 	if rent[pool{"big", "a", false}] != 2 {
 		t.Fatalf("no spot machine for a job that forbids it: %v", rent)
 	}
+	// Twenty that run leave places in time for most of forty with a deadline in
+	// three minutes: machines were rented for all of them, to idle soon after.
+	d[0] = Demand{Spec: job.Spec{Shape: job.Array, Need: d[0].Spec.Need, Spot: true, Rank: "normal", EstimateS: 50, DeadlineS: new(float64)}, Waiting: 40, Running: 20}
+	*d[0].Spec.DeadlineS = 180
+	var turn turnover
+	turn.add(&d[0])
+	if rent = packing(d, nil, turn, offers(types, func(pool) bool { return false }), 20); rent[pool{"big", "a", true}] != 2 {
+		t.Fatalf("two machines for the rest: %v", rent)
+	}
 }
 
 // Room is kept ready for classes of gangs seen lately, and not for ever.
@@ -192,3 +201,31 @@
 		}
 	})
 }
+
+// In a large fleet no machine is idle for long, but many are at any moment: as
+// many as were idle all the time are returned, and not one more.
+func TestWhatIsIdleAllTheTimeIsReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newSteward(t, t.Context())
+		s.policy.IdleReturn = 10 * time.Second
+		p := pool{"box", "a", false}
+		returned := 0
+		for second := range 30 {
+			var bins []*bin
+			idle := map[string]time.Duration{}
+			for i := range 10 - returned {
+				b := &bin{name: fmt.Sprint("m", i), typeName: p.typeName, zone: p.zone}
+				bins = append(bins, b)
+				// Every second another six of ten are idle; later four.
+				if (i+second)%10 < 6-returned || second > 20 && i < 2 {
+					idle[b.name] = time.Second
+				}
+			}
+			returned += len(s.spare(bins, idle, time.Now()))
+			time.Sleep(time.Second)
+		}
+		if returned < 4 || returned > 6 {
+			t.Fatalf("returned %d of the six that are always idle", returned)
+		}
+	})
+}
