Gangs with time left wait; renting does not wait while the queue grows

Cause: on kuopio's first minutes labels were stopped for leaf-train gangs that by their aim had a minute left: room is made only when the tightest wait aim needs it.

--- a/agent/clear.go
+++ b/agent/clear.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"robinstack/cloud"
 	"robinstack/job"
 	"robinstack/statekv"
 	"robinstack/worker"
@@ -25,7 +26,7 @@
 		return nil, 0, false
 	}
 	free, known := m.room(job.Capacity(t))
-	if !known {
+	if !known || !a.hurries(r, t) {
 		return nil, 0, false
 	}
 	type option struct {
@@ -59,6 +60,16 @@
 	return stop, cost, r.Spec.Fits(free)
 }
 
+// hurries reports whether a job that waits for room needs it made now to start
+// by the users' aim: with time left, gangs that end make room for nothing.
+func (a *Agent) hurries(r *Request, t cloud.MachineType) bool {
+	fetch := time.Duration(0)
+	if t.FetchGBPerS > 0 {
+		fetch = time.Duration(1.5 * r.Spec.ImageGB / t.FetchGBPerS * float64(time.Second))
+	}
+	return r.Left <= fetch+2*claimTime
+}
+
 // loss is what stopping the task costs, in GPU-seconds.
 func (t *task) loss(now time.Time) float64 {
 	lost := 0.0
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -10,13 +10,14 @@
 type Request struct {
 	Spec  job.Spec
 	Slot  string
-	Epoch uint64   // revision of the slot's key: later placers outrank earlier ones
-	Zones []string // zones that are allowed right now; nil: any
-	Avoid []string // machines on which the job failed
-	Tasks int      // tasks that look for a place
-	Share float64  // share of the owned machines to sample (the paper's N_p)
-	Least int      // and how many at least, if there are so many
-	Spare int      // candidates to return beyond those that the tasks need
+	Epoch uint64        // revision of the slot's key: later placers outrank earlier ones
+	Zones []string      // zones that are allowed right now; nil: any
+	Avoid []string      // machines on which the job failed
+	Tasks int           // tasks that look for a place
+	Share float64       // share of the owned machines to sample (the paper's N_p)
+	Least int           // and how many at least, if there are so many
+	Left  time.Duration // until the job's tasks should have started by the users' aim; 0: at once
+	Spare int           // candidates to return beyond those that the tasks need
 }
 
 // Candidate is a machine that passed the filters, with its score.
--- a/placer/place.go
+++ b/placer/place.go
@@ -226,6 +226,7 @@
 	if !p.limitAllows(ctx, j, req.Epoch, n) {
 		return false
 	}
+	req.Left = p.timeLeft(j)
 	options := p.ask(ctx, "Agent.Clearable", req)
 	rank(options)
 	chosen := chooseCleared(j.spec.OneZone, candidates, options, n)
@@ -257,6 +258,18 @@
 	return true
 }
 
+// timeLeft is how long the job's tasks may wait yet by the tightest of the
+// users' aims for its class, and 0 if there is none.
+func (p *Placer) timeLeft(j *jobState) time.Duration {
+	within := time.Duration(0)
+	for _, o := range p.settings.Objectives {
+		if o.Kind == "wait" && o.Class == j.spec.Class && (within == 0 || o.Within < within) {
+			within = o.Within
+		}
+	}
+	return max(0, within-time.Since(j.submitted))
+}
+
 // limitAllows asks whether the team's limit leaves room for the whole gang, so
 // that nothing is stopped in vain.
 func (p *Placer) limitAllows(ctx context.Context, j *jobState, epoch uint64, n int) bool {
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -34,8 +34,9 @@
 	resumAt  time.Time
 	toldAt   time.Time          // when the log last had the totals
 	lows     map[pool]*lowWater // idle machines of each pool
-	mute     int                // machines that have not answered their new owners
-	untold   []string           // deleted machines of whose end their owners do not know
+	backlog  backlog
+	mute     int      // machines that have not answered their new owners
+	untold   []string // deleted machines of whose end their owners do not know
 }
 
 // gangClass is a class of gangs for which room is kept ready.
@@ -261,7 +262,9 @@
 			}
 		}
 	}
-	demands = append(s.withinLimits(demands), s.warmDemand(now)...)
+	demands = s.withinLimits(demands)
+	turn.growing = f.backlog.grows(now, demands)
+	demands = append(demands, s.warmDemand(now)...)
 	rentals = append(rentals, f.retry...)
 	f.retry = nil
 	rent := packing(demands, bins, turn, offers(types, func(p pool) bool { return now.Before(f.shut[p]) }), maxRentals*maxHire)
@@ -340,6 +343,29 @@
 	return out
 }
 
+// backlog remembers how much waited lately.
+type backlog struct {
+	waiting []int
+	times   []time.Time
+}
+
+// backlogSpan is the time over which a backlog is compared with itself.
+const backlogSpan = 20 * time.Second
+
+// grows reports whether clearly more waits than some time ago.
+func (b *backlog) grows(now time.Time, demands []Demand) bool {
+	n := 0
+	for _, d := range demands {
+		n += d.Waiting
+	}
+	b.waiting, b.times = append(b.waiting, n), append(b.times, now)
+	full := now.Sub(b.times[0]) >= backlogSpan
+	for len(b.times) > 1 && now.Sub(b.times[1]) >= backlogSpan {
+		b.waiting, b.times = b.waiting[1:], b.times[1:]
+	}
+	return full && n > b.waiting[0]+b.waiting[0]/5+1
+}
+
 // lowWater tells how many there were at least during a span of time.
 type lowWater struct {
 	counts []int
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -156,6 +156,7 @@
 type turnover struct {
 	perSecond float64 // places that come free, by size
 	promised  float64
+	growing   bool // more and more waits: later jobs will need what comes free later
 }
 
 // Of what should come free some goes to gangs, and estimates are guesses.
@@ -201,6 +202,9 @@
 	if slack < bootGuess {
 		slack = lateSlack
 	}
+	if t.growing {
+		slack = min(slack, bootGuess+fetchGuess) // a machine rented now serves from then on
+	}
 	n := min(tasks, int((turnoverShare*t.perSecond*slack-t.promised)/max(size, 1e-3)))
 	if n <= 0 {
 		return 0
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -169,6 +169,12 @@
 	if rent = packing(d, nil, turn, offers(types, func(pool) bool { return false }), 20); rent[pool{"big", "a", true}] != 2 {
 		t.Fatalf("two machines for the rest: %v", rent)
 	}
+	// In a burst later jobs need what comes free later: waiting for that had
+	// machines come up only when the burst was nearly over.
+	turn.growing = true
+	if rent = packing(d, nil, turn, offers(types, func(pool) bool { return false }), 20); rent[pool{"big", "a", true}] != 4 {
+		t.Fatalf("four machines while the queue grows: %v", rent)
+	}
 }
 
 // Room is kept ready for classes of gangs seen lately, and not for ever.
