--- a/agent/service.go
+++ b/agent/service.go
@@ -368,7 +368,7 @@
 	slog.Info("machines gone", "machines", len(batch), "first", batch[0].name)
 }
 
-// Snapshot returns the agent's counters and machines, for the status page.
+// Snapshot returns the agent's counters and machines.
 func (a *Agent) Snapshot() (Counters, []Entry) {
 	now := time.Now()
 	a.mu.Lock()
@@ -382,4 +382,11 @@
 	return a.counters, entries
 }
 
+// CountersNow returns the agent's counters.
+func (a *Agent) CountersNow() Counters {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.counters
+}
+
 var _ worker.Commander = (*worker.Client)(nil)
--- a/cmd/robinstack/main.go
+++ b/cmd/robinstack/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/url"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -112,12 +113,13 @@
 }
 
 func statusCommand() *cobra.Command {
-	return &cobra.Command{
+	var machines string
+	status := &cobra.Command{
 		Use: "status ADDRESS", Short: "Show who holds what, as JSON", Args: cobra.ExactArgs(1),
-		Long: "status prints the status page of the controller that listens on ADDRESS (host:port).",
+		Long: "status prints the status page of the controller that listens on ADDRESS (host:port): totals, and machines one by one on request.",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			client := http.Client{Timeout: 5 * time.Second}
-			resp, err := client.Get("http://" + args[0] + "/status.json")
+			resp, err := client.Get("http://" + args[0] + "/status.json?" + url.Values{"machines": {machines}}.Encode())
 			if err != nil {
 				return fmt.Errorf("reading the status: %w", err)
 			}
@@ -129,6 +131,8 @@
 			return err
 		},
 	}
+	status.Flags().StringVar(&machines, "machines", "", `list machines with their tasks: "all", or the name of one`)
+	return status
 }
 
 func startLog() {
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -20,7 +21,8 @@
 	Ready      bool             `json:"state_service_reached"`
 	Steward    string           `json:"steward"`
 	Teams      []TeamStatus     `json:"teams"`
-	Machines   []MachineStatus  `json:"machines"`
+	Fleet      []PoolStatus     `json:"fleet"`
+	Machines   []MachineStatus  `json:"machines,omitempty"`
 	Waiting    []placer.Waiting `json:"waiting"`
 	Placer     placer.Counters  `json:"placer_counters"`
 	Agent      agent.Counters   `json:"agent_counters"`
@@ -41,6 +43,19 @@
 	Waiting        int     `json:"tasks_waiting"`
 }
 
+// PoolStatus sums up the machines of one kind in one zone.
+type PoolStatus struct {
+	Type     string         `json:"type"`
+	Zone     string         `json:"zone"`
+	Spot     bool           `json:"spot"`
+	Machines int            `json:"machines"`
+	Empty    int            `json:"empty"`
+	Tasks    int            `json:"tasks"`
+	FreeGPUs float64        `json:"gpus_free"`
+	States   map[string]int `json:"states"`
+	Owners   map[string]int `json:"owners"`
+}
+
 // MachineStatus is a machine with its owner and tasks.
 type MachineStatus struct {
 	Machine string   `json:"machine"`
@@ -52,26 +67,25 @@
 	Tasks   []string `json:"tasks"`
 }
 
+// status answers with totals. In a fleet of hundreds the machines are listed
+// only on request: ?machines=all, or the name of one.
 func (g *Gateway) status(c *fiber.Ctx) error {
 	l := g.life.Load()
 	if l == nil {
 		return later(c, "starting")
 	}
-	s := Status{Host: g.settings.Host, Ready: l.Member.Certain(), Steward: l.Placer.StewardHost(), Placer: l.Placer.CountersNow()}
-	s.Agent, _ = l.Agent.Snapshot()
+	s := Status{Host: g.settings.Host, Ready: l.Member.Certain(), Steward: l.Placer.StewardHost(), Placer: l.Placer.CountersNow(), Agent: l.Agent.CountersNow()}
+	entries := l.Feed.Entries()
 	held := map[string]job.Need{}
-	for _, e := range l.Feed.Entries() {
-		m := MachineStatus{Machine: e.Machine, Owner: e.Host, Type: e.Type, Zone: e.Zone, Spot: e.Spot, State: machineState(&e), Tasks: []string{}}
-		for _, t := range e.Tasks {
-			m.Tasks = append(m.Tasks, job.TaskID(t.Job, t.Index)+" "+t.State)
+	for i := range entries {
+		for _, t := range entries[i].Tasks {
 			if t.State != worker.Ended {
 				held[t.Team] = held[t.Team].Add(t.Need, 1)
 			}
 		}
-		slices.Sort(m.Tasks)
-		s.Machines = append(s.Machines, m)
 	}
-	slices.SortFunc(s.Machines, func(a, b MachineStatus) int { return strings.Compare(a.Machine, b.Machine) })
+	s.Fleet = g.pools(entries)
+	s.Machines = machineList(entries, c.Query("machines"))
 	waiting := g.waiting(c.Context(), l, &s)
 	for name, t := range g.settings.Teams {
 		u := held[name]
@@ -82,6 +96,73 @@
 	return c.JSON(s)
 }
 
+// pools sums up the machines by type, zone and kind.
+func (g *Gateway) pools(entries []agent.Entry) []PoolStatus {
+	types := g.catalogue.Types()
+	type key struct {
+		typeName, zone string
+		spot           bool
+	}
+	sums := map[key]*PoolStatus{}
+	for i := range entries {
+		e := &entries[i]
+		k := key{e.Type, e.Zone, e.Spot}
+		p := sums[k]
+		if p == nil {
+			p = &PoolStatus{Type: e.Type, Zone: e.Zone, Spot: e.Spot, States: map[string]int{}, Owners: map[string]int{}}
+			sums[k] = p
+		}
+		free, tasks := types[e.Type].GPUs, 0
+		for _, t := range e.Tasks {
+			if t.State != worker.Ended {
+				tasks++
+				free -= t.Need.GPUs
+			}
+		}
+		p.Machines++
+		p.Tasks += tasks
+		p.FreeGPUs += free
+		p.States[machineState(e)]++
+		p.Owners[e.Host]++
+		if tasks == 0 {
+			p.Empty++
+		}
+	}
+	out := []PoolStatus{}
+	for _, p := range sums {
+		out = append(out, *p)
+	}
+	slices.SortFunc(out, func(a, b PoolStatus) int {
+		return cmp.Or(strings.Compare(a.Type, b.Type), strings.Compare(a.Zone, b.Zone), strings.Compare(kindOf(a.Spot), kindOf(b.Spot)))
+	})
+	return out
+}
+
+func kindOf(spot bool) string {
+	if spot {
+		return "spot"
+	}
+	return "ordinary"
+}
+
+// machineList lists all machines, or one, or none.
+func machineList(entries []agent.Entry, which string) []MachineStatus {
+	var out []MachineStatus
+	for _, e := range entries {
+		if which != "all" && which != e.Machine || which == "" {
+			continue
+		}
+		m := MachineStatus{Machine: e.Machine, Owner: e.Host, Type: e.Type, Zone: e.Zone, Spot: e.Spot, State: machineState(&e), Tasks: []string{}}
+		for _, t := range e.Tasks {
+			m.Tasks = append(m.Tasks, job.TaskID(t.Job, t.Index)+" "+t.State)
+		}
+		slices.Sort(m.Tasks)
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b MachineStatus) int { return strings.Compare(a.Machine, b.Machine) })
+	return out
+}
+
 // waiting gathers the jobs that wait, from all placers.
 func (g *Gateway) waiting(ctx context.Context, l *Life, s *Status) map[string]int {
 	byTeam := map[string]int{}
