Keep machines that gangs left for gangs; pass the demand on from empty pools

Pools that refused are asked for two and then for four times as many; places that cost four times the cheapest only while what finds no room grows beyond what comes free before a new machine could serve; a machine that a gang left is kept 8 s for gangs.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -522,3 +522,40 @@
 		}
 	})
 }
+
+// A machine that a gang has just left is kept for the next gang for a moment:
+// arrays filled it at once and were stopped for that gang, their work lost.
+func TestMachineThatAGangLeftIsKeptForGangs(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		epoch := slot(t, n, "s", 0)
+		w := workers.Add("m1", "box", "a")
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		gang := func(attempt uint64) string {
+			req := agent.CommitRequest{Machine: "m1", Rev: n.entries()["m1"].Rev, Refs: []agent.TaskRef{{Job: "wk-2", Attempt: attempt}}}
+			req.Spec = job.Spec{ID: "wk-2", Shape: job.Gang, Rank: "high", Tasks: 1, Need: job.Need{CPUs: 1, GPUs: 2, MemoryGB: 1}}
+			req.Slot, req.Epoch = "s", epoch
+			var reply agent.CommitReply
+			if err := n.service.Commit(req, &reply); err != nil {
+				t.Fatal(err)
+			}
+			return reply.Verdicts[0]
+		}
+		for attempt := uint64(1); attempt <= 2; attempt++ {
+			if got := gang(attempt); got != agent.Started {
+				t.Fatalf("gang, attempt %d: %q", attempt, got)
+			}
+			workers.End(w, "wk-2/0", worker.Done)
+			n.report(workers, w)
+			if got := n.commit(t, "m1", "s", epoch, 0, 10+attempt); got != agent.Refused {
+				t.Fatalf("array at once: %q", got)
+			}
+		}
+		time.Sleep(9 * time.Second)
+		n.report(workers, w)
+		if got := n.commit(t, "m1", "s", epoch, 0, 20); got != agent.Started {
+			t.Fatalf("array later: %q", got)
+		}
+	})
+}
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -88,6 +88,9 @@
 	busy   bool     // whether there are any
 	summed bool
 
+	keptUntil time.Time // a gang has just left it: kept for the next for a moment
+	keptRank  int       // priority of that gang
+
 	claimedBy    string // job for which tasks of lower priority were stopped
 	claimedUntil time.Time
 }
@@ -155,6 +158,7 @@
 			}
 		}
 	}
+	left := m.gangRank()
 	m.session, m.seq, m.heard, m.silent = r.Session, r.Seq, now, false
 	m.seenToken = max(m.seenToken, r.Token)
 	m.address = r.Address
@@ -199,6 +203,9 @@
 		}
 	}
 	m.sum()
+	if !m.busy && left >= 0 {
+		m.keptUntil, m.keptRank = now.Add(gangKeep), left
+	}
 	if m.busy {
 		m.idleSince = time.Time{}
 	} else if m.idleSince.IsZero() {
@@ -207,6 +214,22 @@
 	return changed
 }
 
+// gangKeep is how long a machine that a gang has left is kept for other gangs.
+// Where gangs come every few seconds the next takes it; otherwise arrays would
+// fill it at once and be stopped again for that gang.
+const gangKeep = 8 * time.Second
+
+// gangRank is the highest priority of the gangs on the machine, or -1.
+func (m *machine) gangRank() int {
+	rank := -1
+	for _, t := range m.tasks {
+		if t.uses() && t.spec != nil && t.spec.Shape == job.Gang {
+			rank = max(rank, t.spec.Priority())
+		}
+	}
+	return rank
+}
+
 // imageState is 1 if the image is known to be on the machine, and half of that
 // if another task is having it fetched.
 func (m *machine) imageState(image string) float64 {
--- a/agent/sample.go
+++ b/agent/sample.go
@@ -29,6 +29,8 @@
 		return "zone is not open to the job"
 	case slices.Contains(r.Avoid, m.name):
 		return "job failed here before"
+	case r.Spec.Priority() < m.keptRank && now.Before(m.keptUntil):
+		return "machine is kept for gangs"
 	case m.claimedBy != r.Spec.ID && now.Before(m.claimedUntil):
 		return "machine is being cleared for another job"
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -44,7 +44,7 @@
 	c := &Controller{
 		settings: settings, policy: pol, catalogue: &cloud.Catalogue{},
 		store:   statekv.NewClient(settings.StateAddress, 0.75*settings.State.RPS, 0.9*settings.State.WriteRPS, settings.Controllers),
-		cloud:   cloud.NewClient(settings.CloudAddress, settings.CloudRPS/2),
+		cloud:   cloud.NewClient(settings.CloudAddress, 0.8*settings.CloudRPS),
 		workers: worker.NewClient(),
 	}
 	c.gateway = gateway.New(settings, c.store, c.catalogue)
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -26,6 +26,7 @@
 	lastAt   time.Time
 	lastName string             // the machine created last that the last list shows
 	shut     map[pool]time.Time // pools that refused, until when
+	limits   map[pool]int       // machines to ask those for, once it is over
 	silent   map[string]time.Time
 	deleted  map[string]time.Time
 	requests int
@@ -54,7 +55,7 @@
 }
 
 func newFleet() fleet {
-	return fleet{booting: map[string]boot{}, listed: map[string]time.Time{}, last: map[string]cloud.Machine{}, shut: map[pool]time.Time{},
+	return fleet{booting: map[string]boot{}, listed: map[string]time.Time{}, last: map[string]cloud.Machine{}, shut: map[pool]time.Time{}, limits: map[pool]int{},
 		gangs: map[string]gangClass{}, lows: map[pool]*lowWater{}, silent: map[string]time.Time{}, deleted: map[string]time.Time{}}
 }
 
@@ -129,9 +130,29 @@
 // time, which leaves room for lists and returns within the cloud's limit.
 const (
 	maxHire    = 50
-	maxRentals = 4
+	maxRentals = 6
 )
 
+// probe is how many machines a pool that refused is asked for the next time:
+// calls for many more would find it as empty and keep others from being asked.
+const probe = 2
+
+func (f *fleet) refuse(p pool, now time.Time) {
+	f.shut[p] = now.Add(10 * time.Second)
+	f.limits[p] = probe
+}
+
+// poolLimit is how many machines a pool may be asked for now.
+func (f *fleet) poolLimit(p pool, now time.Time) int {
+	switch n := f.limits[p]; {
+	case now.Before(f.shut[p]):
+		return 0
+	case n > 0:
+		return n
+	}
+	return maxRentals * maxHire
+}
+
 // runFleet rents and returns machines while this controller is steward.
 func (s *Steward) runFleet(ctx context.Context) {
 	tick := time.NewTicker(time.Second)
@@ -263,21 +284,24 @@
 		}
 	}
 	demands = s.withinLimits(demands)
-	turn.growing = f.backlog.grows(now, demands)
+	turn.growing = f.backlog.grows(now) && f.backlog.last() > turn.beforeBoot()
 	demands = append(demands, s.warmDemand(now)...)
 	rentals = append(rentals, f.retry...)
 	f.retry = nil
-	rent := packing(demands, bins, turn, offers(types, func(p pool) bool { return now.Before(f.shut[p]) }), maxRentals*maxHire)
-	for p, n := range rent {
+	onOffer := offers(types, func(p pool) int { return f.poolLimit(p, now) })
+	rent, over := packing(demands, bins, turn, onOffer, maxRentals*maxHire)
+	f.backlog.add(now, over)
+	for _, o := range onOffer {
+		n := rent[o.pool]
 		// What a repeated rental may bring yet is not rented once more.
 		for _, r := range rentals {
-			if p == (pool{r.Type, r.Zone, r.Spot}) {
+			if o.pool == (pool{r.Type, r.Zone, r.Spot}) {
 				n -= r.Count
 			}
 		}
 		for ; n > 0 && len(rentals) < maxRentals; n -= maxHire {
 			f.requests++
-			rentals = append(rentals, cloud.Rental{Request: fmt.Sprintf("r-%d-%d", s.epoch, f.requests), Type: p.typeName, Zone: p.zone, Spot: p.spot, Count: min(n, maxHire)})
+			rentals = append(rentals, cloud.Rental{Request: fmt.Sprintf("r-%d-%d", s.epoch, f.requests), Type: o.typeName, Zone: o.zone, Spot: o.spot, Count: min(n, maxHire)})
 		}
 	}
 	if now.Sub(f.toldAt) > 10*time.Second {
@@ -343,27 +367,32 @@
 	return out
 }
 
-// backlog remembers how much waited lately.
+// backlog remembers how much found no room lately.
 type backlog struct {
-	waiting []int
-	times   []time.Time
+	sizes []float64
+	times []time.Time
 }
 
 // backlogSpan is the time over which a backlog is compared with itself.
 const backlogSpan = 20 * time.Second
 
-// grows reports whether clearly more waits than some time ago.
-func (b *backlog) grows(now time.Time, demands []Demand) bool {
-	n := 0
-	for _, d := range demands {
-		n += d.Waiting
-	}
-	b.waiting, b.times = append(b.waiting, n), append(b.times, now)
-	full := now.Sub(b.times[0]) >= backlogSpan
+func (b *backlog) add(now time.Time, size float64) {
+	b.sizes, b.times = append(b.sizes, size), append(b.times, now)
 	for len(b.times) > 1 && now.Sub(b.times[1]) >= backlogSpan {
-		b.waiting, b.times = b.waiting[1:], b.times[1:]
+		b.sizes, b.times = b.sizes[1:], b.times[1:]
 	}
-	return full && n > b.waiting[0]+b.waiting[0]/5+1
+}
+
+func (b *backlog) last() float64 {
+	if len(b.sizes) == 0 {
+		return 0
+	}
+	return b.sizes[len(b.sizes)-1]
+}
+
+// grows reports whether it is clearly more than some time ago.
+func (b *backlog) grows(now time.Time) bool {
+	return len(b.times) > 0 && now.Sub(b.times[0]) >= backlogSpan && b.last() > 1.2*b.sizes[0]
 }
 
 // lowWater tells how many there were at least during a span of time.
@@ -476,13 +505,15 @@
 	f := &s.fleet
 	switch {
 	case errors.Is(err, cloud.ErrNoCapacity):
-		f.shut[p] = now.Add(10 * time.Second)
+		f.refuse(p, now)
 	case err != nil:
 		slog.Info("rental unanswered", "request", r.Request, "err", err)
 		f.retry = append(f.retry, r)
 		return
 	case len(names) < r.Count:
-		f.shut[p] = now.Add(10 * time.Second)
+		f.refuse(p, now)
+	case f.limits[p] > 0:
+		f.limits[p] = min(4*f.limits[p], maxRentals*maxHire)
 	}
 	for _, name := range names {
 		f.booting[name] = boot{p, now}
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -33,22 +33,24 @@
 	capacity job.Need
 	price    float64
 	boot     time.Duration
+	left     int // machines that may be asked for now
 }
 
-// offers lists what may be rented, leaving out pools that refused lately.
-func offers(types map[string]cloud.MachineType, shut func(pool) bool) []offer {
-	var out []offer
+// offers lists what may be rented, the cheapest machines first. limit says how
+// many of a pool may be asked for.
+func offers(types map[string]cloud.MachineType, limit func(pool) int) []*offer {
+	var out []*offer
 	for _, t := range types {
 		for _, z := range t.Zones {
 			for _, spot := range []bool{false, true} {
 				p := pool{t.Name, z, spot}
-				if t.HourlyPrice(spot) > 0 && !shut(p) {
-					out = append(out, offer{pool: p, capacity: job.Capacity(t), price: t.HourlyPrice(spot), boot: t.Boot()})
+				if t.HourlyPrice(spot) > 0 {
+					out = append(out, &offer{pool: p, capacity: job.Capacity(t), price: t.HourlyPrice(spot), boot: t.Boot(), left: limit(p)})
 				}
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b offer) int {
+	slices.SortFunc(out, func(a, b *offer) int {
 		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.typeName+a.zone, b.typeName+b.zone))
 	})
 	return out
@@ -59,14 +61,15 @@
 // full ones are not looked at again for each job.
 type packer struct {
 	byGPUs [][]*bin
-	offers []offer
+	offers []*offer
 	rent   map[pool]int
-	left   int // machines that may still be rented
+	left   int  // machines that may still be rented
+	urgent bool // rent dear machines too
 }
 
 func gpuBucket(free job.Need) int { return max(0, min(64, int(free.GPUs+1e-9))) }
 
-func newPacker(bins []*bin, onOffer []offer, most int) *packer {
+func newPacker(bins []*bin, onOffer []*offer, most int) *packer {
 	p := &packer{byGPUs: make([][]*bin, 65), offers: onOffer, rent: map[pool]int{}, left: most}
 	for _, b := range bins {
 		p.add(b)
@@ -118,7 +121,7 @@
 // hire rents what left tasks need beyond the bins.
 func (p *packer) hire(spec *job.Spec, zone string, left int) {
 	for left > 0 && p.left > 0 {
-		o, n := cheapest(spec, zone, p.offers)
+		o, n := p.cheapest(spec, zone)
 		if n == 0 {
 			return
 		}
@@ -126,6 +129,7 @@
 		p.add(&bin{typeName: o.typeName, zone: o.zone, spot: o.spot, free: o.capacity.Add(spec.Need, -float64(take)), used: true})
 		p.rent[o.pool]++
 		p.left--
+		o.left--
 		left -= take
 	}
 }
@@ -137,7 +141,7 @@
 	for z := range zones {
 		left := p.fill(spec, z, tasks, true)
 		if left > 0 {
-			if _, n := cheapest(spec, z, p.offers); n == 0 {
+			if _, n := p.cheapest(spec, z); n == 0 {
 				left += unrentable
 			}
 		}
@@ -187,9 +191,19 @@
 	lateSlack = 60
 )
 
+// serves reports whether a job's tasks can wait for places that come free.
+func (t *turnover) serves(d *Demand) bool {
+	return d.Spec.Shape == job.Array && d.Spec.DeadlineS != nil && d.Spec.EstimateS > 0
+}
+
+// beforeBoot is the size of what comes free before a machine rented now serves.
+func (t *turnover) beforeBoot() float64 {
+	return turnoverShare * t.perSecond * (bootGuess + fetchGuess)
+}
+
 // serve returns how many of so many tasks can wait for places that come free.
 func (t *turnover) serve(d *Demand, tasks int) int {
-	if d.Spec.Shape != job.Array || d.Spec.DeadlineS == nil || d.Spec.EstimateS <= 0 {
+	if !t.serves(d) {
 		return 0
 	}
 	size := placeSize(d.Spec.Need)
@@ -214,8 +228,9 @@
 }
 
 // packing puts waiting tasks into bins and says what to rent for the rest.
-// bins are marked used where something was put.
-func packing(demands []Demand, bins []*bin, turn turnover, onOffer []offer, most int) map[pool]int {
+// bins are marked used where something was put. over is the size of what found no
+// room in them, of the jobs that can wait for turnover.
+func packing(demands []Demand, bins []*bin, turn turnover, onOffer []*offer, most int) (rent map[pool]int, over float64) {
 	slices.SortStableFunc(demands, func(a, b Demand) int {
 		return cmp.Or(cmp.Compare(b.Spec.Priority(), a.Spec.Priority()), cmp.Compare(b.Spec.GPUs*1e6+b.AgeS, a.Spec.GPUs*1e6+a.AgeS))
 	})
@@ -235,15 +250,19 @@
 		if left <= 0 {
 			continue
 		}
+		p.urgent = turn.growing || d.AgeS > urgentAge
 		zone := ""
 		if d.Spec.OneZone && d.Spec.Shape == job.Gang {
 			zone = p.zoneFor(&d.Spec, left, zones)
 		}
 		if left = p.fill(&d.Spec, zone, left, false); left > 0 {
+			if turn.serves(d) {
+				over += float64(left) * placeSize(d.Spec.Need)
+			}
 			p.hire(&d.Spec, zone, left-turn.serve(d, left))
 		}
 	}
-	return p.rent
+	return p.rent, over
 }
 
 // rounds is how many times over a place can serve a job's tasks before its
@@ -257,17 +276,35 @@
 	return max(1, int(left/(1.3*d.Spec.EstimateS+10)))
 }
 
+// dear is how many times as much as the cheapest place there is a place may cost
+// unless it is urgent. Machines that only part of the job's needs fits cost so
+// much that the work is better done some minutes later.
+const dear = 4
+
+// urgentAge is the age in seconds from which on a job gets dear machines too.
+const urgentAge = 180
+
 // cheapest picks the offer in a zone, or in any, with the lowest price per task that it would hold.
-func cheapest(spec *job.Spec, zone string, onOffer []offer) (best offer, fits int) {
-	bestCost := 0.0
-	for _, o := range onOffer {
+func (p *packer) cheapest(spec *job.Spec, zone string) (best *offer, fits int) {
+	bestCost, least := 0.0, 0.0
+	for _, o := range p.offers {
 		n := spec.Count(o.capacity)
-		if n == 0 || zone != "" && o.zone != zone || !spec.Allows(o.typeName, o.zone, o.spot) {
+		if n == 0 || !spec.Allows(o.typeName, o.zone, o.spot) {
+			continue
+		}
+		cost := o.price / float64(n)
+		if least == 0 || cost < least {
+			least = cost
+		}
+		if o.left == 0 || zone != "" && o.zone != zone {
 			continue
 		}
-		if cost := o.price / float64(n); fits == 0 || cost < bestCost {
+		if fits == 0 || cost < bestCost {
 			best, fits, bestCost = o, n, cost
 		}
 	}
+	if bestCost > dear*least && !p.urgent {
+		return nil, 0
+	}
 	return best, fits
 }
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -151,32 +151,70 @@
 	}
 	d := []Demand{{Spec: job.Spec{Need: job.Need{CPUs: 6, GPUs: 1, MemoryGB: 48}, Spot: true, Rank: "normal"}, Waiting: 10}}
 	bins := []*bin{{name: "m1", typeName: "small", zone: "a", free: job.Need{CPUs: 24, GPUs: 4, MemoryGB: 96}}}
-	rent := packing(d, bins, turnover{}, offers(types, func(pool) bool { return false }), 20)
+	rent, _ := packing(d, bins, turnover{}, offers(types, func(pool) int { return 100 }), 20)
 	if len(rent) != 1 || rent[pool{"big", "a", true}] != 1 || !bins[0].used {
 		t.Fatalf("two on the machine there, eight on one big spot machine: %v", rent)
 	}
 	d[0].Spec.Spot = false
-	rent = packing(d, nil, turnover{}, offers(types, func(pool) bool { return false }), 20)
+	rent, _ = packing(d, nil, turnover{}, offers(types, func(pool) int { return 100 }), 20)
 	if rent[pool{"big", "a", false}] != 2 {
 		t.Fatalf("no spot machine for a job that forbids it: %v", rent)
 	}
+	// What only fits badly on the machines left is rented while the queue grows.
+	d[0].Spec.Spot = true
+	onlySmall := func(p pool) int {
+		if p.typeName == "small" && !p.spot {
+			return 100
+		}
+		return 0
+	}
+	bad := turnover{}
+	for _, bad.growing = range []bool{false, true} {
+		rent, _ = packing(d, nil, bad, offers(types, onlySmall), 20)
+		if n := rent[pool{"small", "a", false}]; (n > 0) != bad.growing {
+			t.Fatalf("growing %v: %d dear machines", bad.growing, n)
+		}
+	}
 	// Twenty that run leave places in time for most of forty with a deadline in
 	// three minutes: machines were rented for all of them, to idle soon after.
 	d[0] = Demand{Spec: job.Spec{Shape: job.Array, Need: d[0].Spec.Need, Spot: true, Rank: "normal", EstimateS: 50, DeadlineS: new(float64)}, Waiting: 40, Running: 20}
 	*d[0].Spec.DeadlineS = 180
 	var turn turnover
 	turn.add(&d[0])
-	if rent = packing(d, nil, turn, offers(types, func(pool) bool { return false }), 20); rent[pool{"big", "a", true}] != 2 {
-		t.Fatalf("two machines for the rest: %v", rent)
+	if rent, over := packing(d, nil, turn, offers(types, func(pool) int { return 100 }), 20); rent[pool{"big", "a", true}] != 2 || over != 40 {
+		t.Fatalf("two machines for the rest: %v of %v", rent, over)
 	}
 	// In a burst later jobs need what comes free later: waiting for that had
 	// machines come up only when the burst was nearly over.
 	turn.growing = true
-	if rent = packing(d, nil, turn, offers(types, func(pool) bool { return false }), 20); rent[pool{"big", "a", true}] != 4 {
+	if rent, _ := packing(d, nil, turn, offers(types, func(pool) int { return 100 }), 20); rent[pool{"big", "a", true}] != 4 {
 		t.Fatalf("four machines while the queue grows: %v", rent)
 	}
 }
 
+// Pools that had nothing left were asked for all that was needed again and
+// again, and dearer ones that had some were not reached: a refusal passes the
+// demand on, and the pool is asked for little until it fills a request.
+func TestEmptyPoolsPassTheDemandOn(t *testing.T) {
+	f := newFleet()
+	now := time.Now()
+	p := pool{"big", "a", true}
+	if n := f.poolLimit(p, now); n < 50 {
+		t.Fatalf("%d before any refusal", n)
+	}
+	f.refuse(p, now)
+	if n := f.poolLimit(p, now); n != 0 {
+		t.Fatalf("%d just after a refusal", n)
+	}
+	now = now.Add(11 * time.Second)
+	types := map[string]cloud.MachineType{"big": {Name: "big", GPUs: 8, Price: 25, SpotPrice: 10, Zones: []string{"a"}}}
+	d := []Demand{{Spec: job.Spec{Need: job.Need{GPUs: 8}, Spot: true}, Waiting: 10}}
+	rent, _ := packing(d, nil, turnover{}, offers(types, func(p pool) int { return f.poolLimit(p, now) }), 100)
+	if rent[p] != probe || rent[pool{"big", "a", false}] != 10-probe {
+		t.Fatalf("%v", rent)
+	}
+}
+
 // Room is kept ready for classes of gangs seen lately, and not for ever.
 func TestRoomIsKeptReadyForGangs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
