--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -457,6 +457,23 @@
 				settled++
 			}
 		}
+		// The answers of a watch are bounded, and together complete.
+		seen, since := map[string]bool{}, uint64(0)
+		for more := true; more; {
+			var reply agent.WatchReply
+			if err := b.service.Watch(agent.WatchRequest{Instance: b.member.Instance, Since: since, Wait: time.Second}, &reply); err != nil {
+				t.Fatal(err)
+			}
+			if since, more = reply.Ver, reply.More; len(reply.Entries) > 300 {
+				t.Fatalf("%d entries in one answer", len(reply.Entries))
+			}
+			for _, e := range reply.Entries {
+				seen[e.Machine] = true
+			}
+		}
+		if len(seen) != 1000 {
+			t.Fatalf("a watch showed %d machines", len(seen))
+		}
 		if n := state.Changes() - before; settled != 1000 || n > 20 || held(workers, all[1]) != 1 {
 			t.Fatalf("%d machines settled after %d changes; %d tasks on m1", settled, n, held(workers, all[1]))
 		}
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -76,7 +76,15 @@
 		instance, since = reply.Instance, reply.Ver
 		var news []Entry
 		f.mu.Lock()
-		f.acks[host] = ack{instance: reply.Instance, rev: req.MinRev, stateOK: reply.StateOK, at: time.Now()}
+		known := ack{instance: reply.Instance, rev: req.MinRev, stateOK: reply.StateOK, at: time.Now()}
+		if reply.More {
+			// Not all of it is here yet, so nothing is confirmed by it.
+			known.rev = 0
+			if old := f.acks[host]; old.instance == reply.Instance {
+				known.rev = min(old.rev, req.MinRev)
+			}
+		}
+		f.acks[host] = known
 		for _, e := range reply.Entries {
 			old, ok := f.entries[e.Machine]
 			if ok && (old.Rev > e.Rev || old.Rev == e.Rev && old.Ver >= e.Ver) {
--- a/agent/sample.go
+++ b/agent/sample.go
@@ -172,9 +172,17 @@
 			full = max(full, 1-p[0]/p[1])
 		}
 	}
-	return 100*full + 150*cheap + 100*image
+	total := 100*full + 150*cheap + 100*image
+	if cheap < dearPlace {
+		total -= 200
+	}
+	return total
 }
 
+// dearPlace is the cheapness below which a place is taken only where there is no
+// other, full or not: so such machines empty and are returned.
+const dearPlace = 0.25
+
 // cheapness compares what a place for need costs on a machine with the least
 // that it costs on any the job may use: 1 for the cheapest, towards 0 for dear.
 func cheapness(types map[string]cloud.MachineType, spec *job.Spec, typeName string, spot bool) float64 {
--- a/agent/service.go
+++ b/agent/service.go
@@ -1,9 +1,11 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"robinstack/job"
@@ -208,11 +210,22 @@
 			now := time.Now()
 			reply.Host, reply.Instance, reply.Ver = a.member.Host, a.member.Instance, a.ver
 			reply.StateOK = a.member.Certain()
+			var moved []*machine
 			for _, m := range a.machines {
 				if m.ver > since {
-					reply.Entries = append(reply.Entries, m.entry(a.member.Host, now))
+					moved = append(moved, m)
 				}
 			}
+			if len(moved) > mostEntries {
+				// The earliest changes first, so that the next answer goes on
+				// from the last of them.
+				slices.SortFunc(moved, func(a, b *machine) int { return cmp.Compare(a.ver, b.ver) })
+				moved = moved[:mostEntries]
+				reply.Ver, reply.More = moved[mostEntries-1].ver, true
+			}
+			for _, m := range moved {
+				reply.Entries = append(reply.Entries, m.entry(a.member.Host, now))
+			}
 			a.mu.Unlock()
 			return nil
 		}
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -112,9 +112,13 @@
 	Instance uint64
 	Ver      uint64
 	StateOK  bool
+	More     bool // there are more changes up to now: ask again
 	Entries  []Entry
 }
 
+// mostEntries bounds the entries of one answer.
+const mostEntries = 300
+
 // Entry is what an agent knows about one of its machines.
 type Entry struct {
 	Machine  string
--- a/statekv/client.go
+++ b/statekv/client.go
@@ -200,11 +200,27 @@
 	return nil
 }
 
+// longestQueue is how long a request may wait for this client's own limits. What
+// would wait longer is refused at once: its sender can say when to come back.
+const longestQueue = time.Second
+
 func (c *Client) pace(ctx context.Context, l *rate.Limiter, n int) error {
-	if err := l.WaitN(ctx, n); err != nil {
-		return fmt.Errorf("%w: own limit: %w", ErrRefused, err)
+	r := l.ReserveN(time.Now(), n)
+	if !r.OK() {
+		return fmt.Errorf("%w: %d at once are more than its own limit", ErrRefused, n)
+	}
+	d := r.Delay()
+	if deadline, ok := ctx.Deadline(); d > longestQueue || ok && time.Until(deadline) < d {
+		r.Cancel()
+		return fmt.Errorf("%w: own limit", ErrRefused)
+	}
+	select {
+	case <-ctx.Done():
+		r.Cancel()
+		return fmt.Errorf("%w: own limit: %w", ErrRefused, ctx.Err())
+	case <-time.After(d):
+		return nil
 	}
-	return nil
 }
 
 // Get reads one key.
