Boot and fetch times of the plan come from the cloud's types; shards have their own duty

Guesses of 40 s and 15 s stood in the code; taking a shard could hold up the look after silent machines.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -72,11 +72,11 @@
 	duties.Go(func() { a.runClaims(ctx) })
 	duties.Go(func() { a.runLearning(ctx) })
 	duties.Go(func() { a.runRemovals(ctx) })
+	duties.Go(func() { a.runShards(ctx) })
 	tick := time.NewTicker(500 * time.Millisecond)
 	defer tick.Stop()
 	for ctx.Err() == nil {
 		a.inspect(time.Now())
-		a.holdShards(ctx)
 		select {
 		case <-ctx.Done():
 		case <-tick.C:
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -98,6 +98,18 @@
 	return hosts[(hashOf(key.Host)+key.Index)%len(hosts)]
 }
 
+func (a *Agent) runShards(ctx context.Context) {
+	tick := time.NewTicker(500 * time.Millisecond)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		a.holdShards(ctx)
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+}
+
 // holdShards takes shards whose owner's life is over, and new ones if this
 // controller has none, and takes up the machines in them.
 func (a *Agent) holdShards(ctx context.Context) {
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -267,7 +267,7 @@
 		bins = append(bins, &bin{name: name, typeName: b.typeName, zone: b.zone, spot: b.spot, free: job.Capacity(t), empty: true})
 	}
 	var demands []Demand
-	var turn turnover
+	turn := newTurnover(types)
 	for host, d := range s.demand {
 		if now.Sub(d.at) > 15*time.Second {
 			delete(s.demand, host)
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -160,7 +160,30 @@
 type turnover struct {
 	perSecond float64 // places that come free, by size
 	promised  float64
-	growing   bool // more and more waits: later jobs will need what comes free later
+	growing   bool    // more and more waits: later jobs will need what comes free later
+	boot      float64 // seconds that a machine takes to come up
+	fetchRate float64 // GB per second that a machine fetches, 0 if unknown
+}
+
+// newTurnover starts with the slowest of the types in every respect.
+func newTurnover(types map[string]cloud.MachineType) turnover {
+	var t turnover
+	for _, m := range types {
+		t.boot = max(t.boot, m.BootS)
+		if m.FetchGBPerS > 0 && (t.fetchRate == 0 || m.FetchGBPerS < t.fetchRate) {
+			t.fetchRate = m.FetchGBPerS
+		}
+	}
+	return t
+}
+
+// fetch is the time in seconds that the job's tasks may wait for their image:
+// half of what it takes, for some machines have it.
+func (t *turnover) fetch(spec *job.Spec) float64 {
+	if t.fetchRate == 0 {
+		return 0
+	}
+	return spec.ImageGB / t.fetchRate / 2
 }
 
 // Of what should come free some goes to gangs, and estimates are guesses.
@@ -177,19 +200,13 @@
 // add counts a job's running tasks.
 func (t *turnover) add(d *Demand) {
 	if d.Spec.Shape == job.Array && d.Spec.EstimateS > 0 {
-		t.perSecond += float64(d.Running) * placeSize(d.Spec.Need) / (d.Spec.EstimateS + fetchGuess)
+		t.perSecond += float64(d.Running) * placeSize(d.Spec.Need) / (d.Spec.EstimateS + t.fetch(&d.Spec))
 	}
 }
 
-// fetchGuess is the time in seconds that a task may wait for its image.
-const fetchGuess = 15
-
-// Times in seconds: that a machine takes to come up, and that a job which is
-// hopelessly late may wait for places to come free.
-const (
-	bootGuess = 40
-	lateSlack = 60
-)
+// lateSlack is how many seconds a job which is hopelessly late may wait for
+// places to come free.
+const lateSlack = 60
 
 // serves reports whether a job's tasks can wait for places that come free.
 func (t *turnover) serves(d *Demand) bool {
@@ -198,7 +215,7 @@
 
 // beforeBoot is the size of what comes free before a machine rented now serves.
 func (t *turnover) beforeBoot() float64 {
-	return turnoverShare * t.perSecond * (bootGuess + fetchGuess)
+	return turnoverShare * t.perSecond * t.boot
 }
 
 // serve returns how many of so many tasks can wait for places that come free.
@@ -207,17 +224,17 @@
 		return 0
 	}
 	size := placeSize(d.Spec.Need)
-	slack := *d.Spec.DeadlineS - d.AgeS - 1.2*d.Spec.EstimateS - fetchGuess
-	if slack < bootGuess {
+	slack := *d.Spec.DeadlineS - d.AgeS - 1.2*d.Spec.EstimateS - t.fetch(&d.Spec)
+	if slack < t.boot {
 		// A machine rented now would come too late. Half the time over is
 		// better than never; beyond that nothing is to be won by renting.
 		slack += *d.Spec.DeadlineS / 2
 	}
-	if slack < bootGuess {
+	if slack < t.boot {
 		slack = lateSlack
 	}
 	if t.growing {
-		slack = min(slack, bootGuess+fetchGuess) // a machine rented now serves from then on
+		slack = min(slack, t.boot+t.fetch(&d.Spec)) // a machine rented now serves from then on
 	}
 	n := min(tasks, int((turnoverShare*t.perSecond*slack-t.promised)/max(size, 1e-3)))
 	if n <= 0 {
