A machine given up is not taken up again under the same revision

Introduced with shards: before, taking up was always a conditional write. Now a machine that was given up comes back only by a claim, and an unconfirmed entry never proves a task gone. Two tests, each failing without its fix.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -38,6 +38,7 @@
 	shards   map[string]uint64 // shards held, with their keys' revisions
 	home     []string          // those that take new machines
 	claiming map[string]bool   // machines in the queue of claims
+	released map[string]uint64 // machines given up, with the revision of our ownership
 	visits   map[string]visit  // workers that keep coming though their owner lives
 	ver      uint64
 	changed  chan struct{}
@@ -59,7 +60,7 @@
 	return &Agent{
 		settings: settings, store: store, mirror: mirror, member: member, workers: workers, types: types,
 		claims: make(chan claim, 256), learns: make(chan struct{}, 1),
-		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, claiming: map[string]bool{}, visits: map[string]visit{}, changed: make(chan struct{}),
+		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, claiming: map[string]bool{}, released: map[string]uint64{}, visits: map[string]visit{}, changed: make(chan struct{}),
 	}
 }
 
@@ -129,7 +130,9 @@
 		case !exists:
 			return a.claimFor(ctx, r, 0)
 		case holder == a.member.Holder:
-			a.takeUp([]statekv.KV{kv})
+			if !a.takeUp(kv) {
+				return a.claimFor(ctx, r, kv.Rev)
+			}
 			reply, _ := a.ownReport(r, time.Now())
 			return reply
 		case a.member.Alive(holder):
@@ -239,6 +242,7 @@
 	for _, t := range m.tasks {
 		t.settle(Unsettled)
 	}
+	a.released[m.name] = m.rev
 	if !m.gone { // a deleted machine whose late report another controller met has stopped already
 		close(m.quit)
 	}
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -576,3 +576,33 @@
 		}
 	})
 }
+
+// A worker that has seen a later token has a successor that the mirror does not
+// show yet. Its machine, once given up, was taken up again under the same
+// revision, without its tasks, and they were started elsewhere (ran_twice).
+func TestMachineGivenUpIsNotTakenUpUnderTheSameRevision(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		epoch := slot(t, n, "s", 0)
+		w := workers.Add("m1", "box", "a")
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		if got := n.commit(t, "m1", "s", epoch, 0, 1); got != agent.Started {
+			t.Fatalf("verdict %q", got)
+		}
+		before := n.entries()["m1"].Rev
+		workers.Do(func() { w.Report.Token += 1 << 10 })
+		n.report(workers, w)
+		for range 5 {
+			if e, ok := n.entries()["m1"]; ok && e.Rev == before {
+				t.Fatalf("taken up again: %+v", e)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		if e := n.entries()["m1"]; e.Rev <= before || !e.Settled || len(e.Tasks) != 1 {
+			t.Fatalf("claimed anew with what runs there: %+v", e)
+		}
+	})
+}
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -217,6 +217,13 @@
 // sortOut takes up the machines that are ours by their keys, gives up those that
 // are not any more, and claims those whose shard has been lost.
 func (a *Agent) sortOut(hosts []string, keys []statekv.KV) {
+	a.mu.Lock()
+	for name := range a.released {
+		if _, ok := a.mirror.Get(statekv.MachinePrefix + name); !ok {
+			delete(a.released, name)
+		}
+	}
+	a.mu.Unlock()
 	var ours []statekv.KV
 	for _, kv := range keys {
 		holder, rev := Owner(a.mirror, kv)
@@ -243,7 +250,11 @@
 			}
 		}
 	}
-	a.takeUp(ours)
+	for _, kv := range ours {
+		if !a.takeUp(kv) {
+			a.claim(kv.Key[len(statekv.MachinePrefix):], *KeyOf(kv), kv.Rev)
+		}
+	}
 }
 
 // claim is a machine that is to be written into one of our shards.
@@ -338,16 +349,25 @@
 	}
 }
 
-// takeUp looks after machines that are ours by their keys.
-func (a *Agent) takeUp(keys []statekv.KV) {
-	for _, kv := range keys {
-		key := KeyOf(kv)
-		holder, rev := Owner(a.mirror, kv)
-		if key == nil || holder != a.member.Holder {
-			continue
-		}
-		a.own(strings.TrimPrefix(kv.Key, statekv.MachinePrefix), key, kv.Rev, rev, true)
+// takeUp looks after a machine that is ours by its key. It returns false for one
+// that was given up under this very ownership: then its worker has seen a
+// successor that the mirror does not show yet, or nobody knows what runs there,
+// and only a claim, a write under a condition, can make it ours again.
+func (a *Agent) takeUp(kv statekv.KV) bool {
+	key := KeyOf(kv)
+	holder, rev := Owner(a.mirror, kv)
+	if key == nil || holder != a.member.Holder {
+		return true
+	}
+	name := strings.TrimPrefix(kv.Key, statekv.MachinePrefix)
+	a.mu.Lock()
+	given := a.released[name]
+	a.mu.Unlock()
+	if given >= rev {
+		return false
 	}
+	a.own(name, key, kv.Rev, rev, true)
+	return true
 }
 
 // own begins to look after a machine. keyRev is its key's revision, rev that of
@@ -372,6 +392,7 @@
 		m.answerEnd = now.Add(a.settings.HoldTime())
 	}
 	a.machines[name] = m
+	delete(a.released, name)
 	a.touch(m)
 	go a.runMachine(a.ctx, m)
 	m.wake()
--- a/placer/events.go
+++ b/placer/events.go
@@ -40,8 +40,10 @@
 			continue
 		}
 		// Under the owner that it was committed to, an entry made since then
-		// decides; under a later owner, one that the worker has confirmed.
-		if e.Gone && e.Rev >= ts.rev || e.Rev == ts.rev && ts.ver != unresolved && e.Ver >= ts.ver || e.Rev > ts.rev && e.Settled {
+		// decides; under a later owner, any that the worker has confirmed. An
+		// unconfirmed one says nothing: its owner does not know yet what runs.
+		since := e.Rev > ts.rev || e.Rev == ts.rev && ts.ver != unresolved && e.Ver >= ts.ver
+		if e.Gone && e.Rev >= ts.rev || e.Settled && since {
 			p.lost(j, ref.Index)
 		}
 	}
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -417,3 +417,22 @@
 		}
 	})
 }
+
+// Guards against ran_twice: an entry that its owner has not confirmed yet does
+// not prove a task gone, not even under the ownership that it was committed to.
+func TestUnconfirmedEntryProvesNothing(t *testing.T) {
+	story(t, func(w *world) {
+		n := w.start("host-0")
+		w.run(3 * time.Second)
+		w.submit(n, spec("wk-1", job.Array, 1, 1))
+		w.run(2 * time.Second)
+		_, entries := n.agent.Snapshot()
+		for _, e := range entries {
+			n.placer.OnEntries([]agent.Entry{{Machine: e.Machine, Host: e.Host, Rev: e.Rev, Ver: e.Ver + 1000, Type: "box", Zone: e.Zone}})
+		}
+		w.run(4 * time.Second)
+		if got := w.starts()["wk-1/0"]; got != 1 {
+			t.Fatalf("started %d times", got)
+		}
+	})
+}
