--- a/policy/policy.go
+++ b/policy/policy.go
@@ -162,9 +162,8 @@
 }
 
 // Order puts jobs in the queue's order, higher first. The built-in order is
-// rank; then jobs that can meet their deadline, by that and their size; then those
-// that can be half as late again, likewise; then the rest by how late they are.
-// Jobs without a deadline go by age, before those with one.
+// rank, then the deadline, with those behind that can no longer meet it, the
+// rest by age.
 func (p *Policy) Order(spec *job.Spec, age time.Duration) float64 {
 	if p.order != nil {
 		env := jobEnv{Rank: spec.Priority(), Class: spec.Class, Team: spec.Team, Tasks: spec.Tasks, GPUs: spec.GPUs, CPUs: spec.CPUs,
@@ -182,18 +181,9 @@
 	if spec.DeadlineS == nil {
 		return order + classes + age.Seconds()
 	}
-	// Users count jobs, not tasks: when not all can be in time, many small ones
-	// are worth more than a few large ones. A task counts like a second.
-	left, size := *spec.DeadlineS-age.Seconds(), float64(spec.Tasks)
-	switch need := 1.2*spec.EstimateS + startTime; {
-	case left >= need:
-		return order + classes - size - left
-	case left+*spec.DeadlineS/2 >= need:
-		return order + classes/2 - size - left
+	left := *spec.DeadlineS - age.Seconds()
+	if left >= spec.EstimateS {
+		return order + classes - left
 	}
 	return order - left
 }
-
-// startTime is what a task is taken to need beside its run, in seconds: a
-// command, and often its image.
-const startTime = 15
