Controllers that start together no longer take each other for dead

Cause: a mirror loaded while the store was still empty took the revision of its second page for that of its first (0 was read as "not known yet"), so it never saw the others register. That controller took their slots, shards and the steward's role; the others refused every submission and were not sampled. Also: a role is taken only on the condition that the state service, not just the mirror, has its holder's life over; and a life whose slot was taken ends.

--- a/agent/owner.go
+++ b/agent/owner.go
@@ -130,7 +130,7 @@
 			}
 			var err error
 			tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-			rev, err = a.member.Take(tctx, kv.Key, kv.Rev, ShardKey{Holder: a.member.Holder, Index: key.Index})
+			rev, err = a.member.Take(tctx, kv.Key, kv.Rev, key.Holder, ShardKey{Holder: a.member.Holder, Index: key.Index})
 			cancel()
 			if err != nil {
 				slog.Debug("taking a shard", "key", kv.Key, "err", err)
--- a/fakes/state.go
+++ b/fakes/state.go
@@ -43,6 +43,13 @@
 	return &State{rev: 1, keys: map[string]statekv.KV{}, leased: map[string]uint64{}, leases: map[uint64]time.Time{}, changed: make(chan struct{})}
 }
 
+// NewEmptyState returns a store in which nothing has ever been written.
+func NewEmptyState() *State {
+	s := NewState()
+	s.rev = 0
+	return s
+}
+
 // Set changes what fails.
 func (s *State) Set(down, loseAnswers bool) {
 	s.mu.Lock()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -202,9 +202,16 @@
 	}
 	p.mu.Lock()
 	none := p.home == ""
+	for id, s := range p.slots {
+		var h statekv.Holder
+		kv, ok := p.mirror.Get(statekv.SlotPrefix + id)
+		if ok && kv.Rev > s.epoch && json.Unmarshal(kv.Value, &h) == nil && h != p.member.Holder {
+			p.member.Replaced(fmt.Errorf("slot %s was taken by %s", id, h.Host))
+		}
+	}
 	p.mu.Unlock()
 	if none { // first, for users wait for it
-		p.takeSlot(ctx, fmt.Sprintf("%s.%d", p.member.Host, p.member.Instance), 0)
+		p.takeSlot(ctx, fmt.Sprintf("%s.%d", p.member.Host, p.member.Instance), 0, statekv.Holder{})
 	}
 	for _, kv := range p.mirror.Dir(statekv.SlotPrefix) {
 		id := strings.TrimPrefix(kv.Key, statekv.SlotPrefix)
@@ -215,15 +222,15 @@
 		if held || json.Unmarshal(kv.Value, &h) == nil && h != p.member.Holder && p.member.Alive(h) {
 			continue
 		}
-		p.takeSlot(ctx, id, kv.Rev)
+		p.takeSlot(ctx, id, kv.Rev, h)
 	}
 	p.settleSlots(ctx)
 }
 
-func (p *Placer) takeSlot(ctx context.Context, id string, seen uint64) {
+func (p *Placer) takeSlot(ctx context.Context, id string, seen uint64, from statekv.Holder) {
 	tctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
-	epoch, err := p.member.Take(tctx, statekv.SlotPrefix+id, seen, p.member.Holder)
+	epoch, err := p.member.Take(tctx, statekv.SlotPrefix+id, seen, from, p.member.Holder)
 	if err != nil {
 		slog.Debug("taking a slot", "slot", id, "err", err)
 		return
--- a/statekv/member.go
+++ b/statekv/member.go
@@ -41,6 +41,8 @@
 	ttl    time.Duration
 	lease  uint64
 
+	replaced chan error // why another has taken over although the lease is held
+
 	mu      sync.Mutex
 	renewed time.Time // when the last successful renewal was sent
 }
@@ -58,7 +60,7 @@
 		_ = store.Revoke(ctx, lease)
 		return nil, fmt.Errorf("registering: %w", err)
 	}
-	return &Member{Holder: Holder{Host: host, Instance: rev}, store: store, mirror: mirror, ttl: ttl, lease: lease, renewed: sent}, nil
+	return &Member{Holder: Holder{Host: host, Instance: rev}, store: store, mirror: mirror, ttl: ttl, lease: lease, replaced: make(chan error, 1), renewed: sent}, nil
 }
 
 // Keep renews the lease until ctx ends or the lease is lost.
@@ -69,6 +71,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case err := <-m.replaced:
+			return err
 		case <-tick.C:
 		}
 		sent := time.Now()
@@ -89,6 +93,15 @@
 	}
 }
 
+// Replaced ends this life, for the given reason: another controller holds a role
+// that only it should hold, so that others do not take it for alive.
+func (m *Member) Replaced(reason error) {
+	select {
+	case m.replaced <- reason:
+	default:
+	}
+}
+
 // Certain reports whether the lease is certainly held right now.
 func (m *Member) Certain() bool { return time.Since(m.Renewed()) < m.ttl-m.ttl/8 }
 
@@ -124,10 +137,16 @@
 }
 
 // Take writes a role's key if it still has the revision seen, and returns the
-// new revision, which fences off earlier holders. If an answer is lost, the
-// next try meets its own write and recognises it.
-func (m *Member) Take(ctx context.Context, key string, seen uint64, value any) (uint64, error) {
-	rev, err := m.Write(ctx, []Cond{{Key: key, Rev: seen}}, []Op{{Set: key, Value: value}})
+// new revision, which fences off earlier holders. from is the holder whose life
+// is over: the state service checks that too, whatever the mirror shows. If an
+// answer is lost, the next try meets its own write and recognises it.
+func (m *Member) Take(ctx context.Context, key string, seen uint64, from Holder, value any) (uint64, error) {
+	when := []Cond{{Key: key, Rev: seen}}
+	if from.Host != "" && from.Host != m.Host {
+		later, _ := m.mirror.Get(NodePrefix + from.Host)
+		when = append(when, Cond{Key: NodePrefix + from.Host, Rev: later.Rev})
+	}
+	rev, err := m.Write(ctx, when, []Op{{Set: key, Value: value}})
 	if !IsConflict(err) {
 		return rev, err
 	}
--- a/statekv/mirror.go
+++ b/statekv/mirror.go
@@ -70,16 +70,19 @@
 	sent := time.Now()
 	dirs := map[string]map[string]KV{}
 	var rev uint64
+	first := true
 	for _, prefix := range m.keep {
 		for after, more := "", true; more; {
 			p, err := m.store.List(ctx, prefix, after)
 			if err != nil {
 				return err
 			}
-			if rev == 0 {
+			if first {
 				// Later pages may be newer; following from the first page's
-				// revision applies their changes again, which is harmless.
-				rev = p.Rev
+				// revision applies their changes again, which is harmless. An
+				// empty store's revision is 0: that counts too, or the changes
+				// until the next page would never be seen.
+				rev, first = p.Rev, false
 			}
 			for _, kv := range p.Items {
 				m.put(dirs, kv)
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -97,7 +97,7 @@
 		}
 		tctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 		defer cancel()
-		rev, err := s.member.Take(tctx, statekv.StewardKey, kv.Rev, s.member.Holder)
+		rev, err := s.member.Take(tctx, statekv.StewardKey, kv.Rev, h, s.member.Holder)
 		if err != nil || s.mirror.Wait(tctx, rev) != nil {
 			return
 		}
