Only workers that come back again count against their owner; orphans are claimed

A visit now counts from the second under one ownership; a claim into a shard that is not held is dropped, and a machine whose shard is gone is claimed also by who looks after it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,7 +41,7 @@
 	released map[string]uint64 // machines given up, with the revision of our ownership
 	visits   map[string]visit  // workers that keep coming though their owner lives
 	seen     map[string]sight  // shards as seen last, and since when
-	gen      int               // how often this life had to make shards of its own
+	gens     []int             // how often this life had to make each of its own shards
 	ver      uint64
 	changed  chan struct{}
 	counters Counters
@@ -122,7 +122,7 @@
 	for wait := time.Now().Add(ownerWait); ; {
 		rev := a.mirror.Rev()
 		kv, exists := a.mirror.Get(statekv.MachinePrefix + r.Machine)
-		holder, _ := Owner(a.mirror, kv)
+		holder, owned := Owner(a.mirror, kv)
 		switch {
 		case !exists:
 			return a.claimFor(ctx, r, 0)
@@ -133,7 +133,7 @@
 			reply, _ := a.ownReport(r, time.Now())
 			return reply
 		case a.member.Alive(holder):
-			if a.cannotReach(r.Machine, now) {
+			if a.cannotReach(r.Machine, owned, now) {
 				return a.claimFor(ctx, r, kv.Rev)
 			}
 			return Reply{Home: holder.Host}
--- a/agent/balance.go
+++ b/agent/balance.go
@@ -14,8 +14,11 @@
 // only them, and when another controller has come back with nothing to own, so
 // that the next failure of one controller is not one of the whole fleet.
 
-// visit counts how often a worker came here although its owner lives.
+// visit counts how often a worker came here although its owner lives, under one
+// ownership. A worker that comes once may not have known its owner; it is sent
+// there, and comes again only if it got no answer.
 type visit struct {
+	rev         uint64
 	count       int
 	first, last time.Time
 }
@@ -33,21 +36,19 @@
 	visitsApart = 30 * time.Second
 	// calm is how long a shard must have had its owner before it is taken from it.
 	calm = 10 * time.Second
-	// firstDoubt and laterDoubt are how long workers must have come here before
-	// their shard is taken, by the controller that is next in line for it and
-	// by the others.
-	firstDoubt = 1500 * time.Millisecond
-	laterDoubt = 5 * time.Second
+	// laterDoubt is how long workers must have come here before their shard is
+	// taken by a controller that is not next in line for it.
+	laterDoubt = 4 * time.Second
 )
 
 // cannotReach notes that a worker came although its owner is alive, and says
 // whether it has come so often that it plainly cannot reach that owner.
-func (a *Agent) cannotReach(name string, now time.Time) bool {
+func (a *Agent) cannotReach(name string, rev uint64, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	v := a.visits[name]
-	if now.Sub(v.last) > visitsApart {
-		v = visit{first: now}
+	if v.rev != rev || now.Sub(v.last) > visitsApart {
+		v = visit{rev: rev, first: now}
 	}
 	v.count++
 	v.last = now
@@ -55,11 +56,7 @@
 		clear(a.visits)
 	}
 	a.visits[name] = v
-	if v.count < 2 || v.count == 2 && now.Sub(v.first) < 6*time.Second {
-		return false
-	}
-	delete(a.visits, name)
-	return true
+	return v.count >= 4 || v.count >= 3 && now.Sub(v.first) > calm
 }
 
 // note keeps for how long each shard has had its owner, and returns since when
@@ -83,12 +80,11 @@
 }
 
 // strayShards lists the shards of living owners of which so many workers came
-// here that their owner has plainly lost them, with the reason.
+// here again that their owner has plainly lost them, with the reason.
 func (a *Agent) strayShards(shards, machines []statekv.KV, hosts []string, now time.Time) map[string]string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.note(shards, now)
-	recent := 2*a.settings.Workers.Report + 6*time.Second
 	size, came, first := map[string]int{}, map[string]int{}, map[string]time.Time{}
 	for name, v := range a.visits {
 		if now.Sub(v.last) > visitsApart {
@@ -106,7 +102,7 @@
 		shard := statekv.ShardPrefix + key.Shard
 		size[shard]++
 		v, ok := a.visits[kv.Key[len(statekv.MachinePrefix):]]
-		if !ok || now.Sub(v.last) > recent {
+		if _, rev := Owner(a.mirror, kv); !ok || v.count < 2 || v.rev != rev {
 			continue
 		}
 		came[shard]++
@@ -123,9 +119,9 @@
 		doubt := laterDoubt
 		others := slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return h == key.Host })
 		if heir(key, others) == a.member.Host {
-			doubt = firstDoubt
+			doubt = 0
 		}
-		if came[kv.Key] >= max(3, (size[kv.Key]+2)/3) && now.Sub(first[kv.Key]) >= doubt {
+		if came[kv.Key] >= max(3, (size[kv.Key]+3)/4) && now.Sub(first[kv.Key]) >= doubt {
 			if out == nil {
 				out = map[string]string{}
 			}
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -79,10 +79,7 @@
 	if !ok {
 		return holder, kv.Rev
 	}
-	if k := parsed[ShardKey](shard); k != nil {
-		holder = k.Holder
-	}
-	return holder, max(kv.Rev, shard.Rev)
+	return holderOf(shard), max(kv.Rev, shard.Rev)
 }
 
 func hashOf(name string) int {
@@ -156,17 +153,8 @@
 	}
 	home := a.homeShards()
 	if !holdsAll(held, home) {
-		if slices.ContainsFunc(home, func(id string) bool {
-			kv, ok := a.mirror.Get(statekv.ShardPrefix + id)
-			return ok && parsed[ShardKey](kv).Holder != a.member.Holder
-		}) {
-			// Some were taken from this life: it goes on with others.
-			a.mu.Lock()
-			a.gen++
-			a.mu.Unlock()
-			home = a.homeShards()
-		}
-		rev, err := a.makeShards(ctx)
+		home = a.replaceLost(home)
+		rev, err := a.makeShards(ctx, home, held)
 		if err != nil {
 			// If they were made after all, the mirror will show them.
 			slog.Debug("making shards", "err", err)
@@ -174,7 +162,9 @@
 		}
 		latest = max(latest, rev)
 		for _, id := range home {
-			held[id] = rev
+			if held[id] == 0 {
+				held[id] = rev
+			}
 		}
 	}
 	// What an earlier owner claimed last is in the mirror by then.
@@ -197,13 +187,35 @@
 func (a *Agent) homeShards() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.gens == nil {
+		a.gens = make([]int, ownShards*max(1, len(a.settings.Zones)))
+	}
 	var ids []string
-	for k := range ownShards * max(1, len(a.settings.Zones)) {
-		ids = append(ids, fmt.Sprintf("%s.%d.%d.%d", a.member.Host, a.member.Instance, a.gen, k))
+	for k, gen := range a.gens {
+		ids = append(ids, fmt.Sprintf("%s.%d.%d.%d", a.member.Host, a.member.Instance, gen, k))
 	}
 	return ids
 }
 
+func holderOf(shard statekv.KV) statekv.Holder {
+	if key := parsed[ShardKey](shard); key != nil {
+		return key.Holder
+	}
+	return statekv.Holder{}
+}
+
+// replaceLost gives shards that were taken from this life new names.
+func (a *Agent) replaceLost(home []string) []string {
+	for k, id := range home {
+		if kv, ok := a.mirror.Get(statekv.ShardPrefix + id); ok && holderOf(kv) != a.member.Holder {
+			a.mu.Lock()
+			a.gens[k]++
+			a.mu.Unlock()
+		}
+	}
+	return a.homeShards()
+}
+
 // homeFor is the place in the list of home shards for a machine.
 func (a *Agent) homeFor(name, zone string) int {
 	z := max(0, slices.Index(a.settings.Zones, zone))
@@ -216,10 +228,13 @@
 	return a.shards
 }
 
-func (a *Agent) makeShards(ctx context.Context) (uint64, error) {
+func (a *Agent) makeShards(ctx context.Context, home []string, held map[string]uint64) (uint64, error) {
 	var when []statekv.Cond
 	var then []statekv.Op
-	for k, id := range a.homeShards() {
+	for k, id := range home {
+		if held[id] != 0 {
+			continue
+		}
 		// Once only: a copy applied late must not raise the revision of a
 		// shard that has machines by then.
 		when = append(when, statekv.Cond{Key: statekv.ShardPrefix + id})
@@ -286,7 +301,7 @@
 			a.release(m)
 		}
 		a.mu.Unlock()
-		if holder == (statekv.Holder{}) && m == nil && hosts[hashOf(name)%len(hosts)] == a.member.Host {
+		if holder == (statekv.Holder{}) && hosts[hashOf(name)%len(hosts)] == a.member.Host {
 			if key := KeyOf(kv); key != nil {
 				a.claim(name, *key, kv.Rev)
 			}
@@ -339,15 +354,16 @@
 		for len(batch) < a.settings.State.TxnOps && len(a.claims) > 0 {
 			batch = append(batch, <-a.claims)
 		}
-		// Meanwhile another controller may have claimed it.
+		// Meanwhile another controller may have claimed it, or taken the shard.
+		shards := a.heldShards()
 		open := slices.DeleteFunc(slices.Clone(batch), func(c claim) bool {
 			kv, _ := a.mirror.Get(statekv.MachinePrefix + c.name)
-			return kv.Rev != c.seen
+			return kv.Rev != c.seen || shards[c.key.Shard] == 0
 		})
 		for len(open) > 0 && !a.store.Room(statekv.Claims, len(open)) && ctx.Err() == nil {
 			time.Sleep(50 * time.Millisecond)
 		}
-		a.claimBatch(ctx, open)
+		a.claimBatch(ctx, open, shards)
 		a.mu.Lock()
 		for _, c := range batch {
 			delete(a.claiming, c.name)
@@ -359,11 +375,10 @@
 
 // claimBatch writes claims, leaving out those that others were faster with. A
 // claim of ours whose answer was lost is taken up once the mirror shows it.
-func (a *Agent) claimBatch(ctx context.Context, batch []claim) {
+func (a *Agent) claimBatch(ctx context.Context, batch []claim, shards map[string]uint64) {
 	for len(batch) > 0 && ctx.Err() == nil {
 		var when []statekv.Cond
 		var then []statekv.Op
-		shards := a.heldShards()
 		for _, c := range batch {
 			when = append(when, statekv.Cond{Key: statekv.MachinePrefix + c.name, Rev: c.seen})
 			if shard := (statekv.Cond{Key: statekv.ShardPrefix + c.key.Shard, Rev: shards[c.key.Shard]}); !slices.Contains(when, shard) {
