Jobs that fail everywhere are told from machines that fail

Two jobs submitted with a mistake marked every machine that both had touched as faulty for good, and it was returned; a job with one bad machine waited up to a minute. Now a failure is the machine's where the job runs well elsewhere, else the job's once it failed on three machines: such a job is tried one task at a time, last in the queue, has no room made and nothing rented; what of it has not begun is stopped. While it is not known, a machine on which two jobs failed gets no others for 20 s. A mark is lifted when a task completes there.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,8 +24,8 @@
 	workers  worker.Commander
 	types    func() map[string]cloud.MachineType
 
-	// Images tells what an earlier owner knew of a machine's images.
-	Images func(machine string) []string
+	// Known tells what an earlier owner showed of a machine.
+	Known func(machine string) Entry
 
 	claims chan claim
 	learns chan struct{}
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -124,12 +124,12 @@
 	return e.Host, ok && !e.Gone
 }
 
-// Images returns the images that a machine's latest entry has, so that what is
-// known of a machine survives its owner.
-func (f *Feed) Images(machine string) []string {
+// Known returns a machine's latest entry, so that what is known of a machine
+// survives its owner.
+func (f *Feed) Known(machine string) Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.entries[machine].Images
+	return f.entries[machine]
 }
 
 // SettledSince reports whether everything that may run on a machine, according
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"log/slog"
 	"time"
 
 	"robinstack/job"
@@ -37,6 +38,7 @@
 	forget    bool
 	holdUntil time.Time
 	runningAt time.Time
+	counted   bool        // its end has been held for or against its machine
 	result    chan string // verdict for the waiting commit, buffered
 }
 
@@ -72,8 +74,10 @@
 	removing  bool
 	gone      bool
 	silent    bool
-	faulty    bool
-	failures  map[string]time.Time // jobs whose tasks failed here
+	faulty    bool                 // jobs that run well elsewhere failed here
+	failures  map[string]time.Time // jobs whose tasks failed here, until it is known whose fault it was
+	blamed    map[string]bool      // those that run well elsewhere
+	doneAt    time.Time            // when a task completed here last
 	noticeAt  time.Time            // when the cloud takes it; zero: no notice
 	heard     time.Time
 	answerEnd time.Time // last moment at which anyone may have answered its worker
@@ -255,11 +259,18 @@
 			t.forget = true
 			return
 		case worker.Failed:
-			m.failures[t.ref.Job] = now
-			m.faulty = m.faulty || len(m.failures) >= 2
+			if !t.counted {
+				m.failures[t.ref.Job] = now
+			}
 		case worker.Done:
-			clear(m.failures)
+			if !t.counted {
+				m.doneAt = now
+				clear(m.failures)
+				clear(m.blamed)
+				m.faulty = false
+			}
 		}
+		t.counted = true
 	case worker.Fetching:
 	default:
 		if t.runningAt.IsZero() && t.state == worker.Running {
@@ -272,6 +283,40 @@
 	t.settle(Started)
 }
 
+// doubtFor is how long a machine on which two jobs failed gets no others while it
+// is not known whose fault it was: a faulty machine is always free and would
+// fail one job after the other.
+const doubtFor = 20 * time.Second
+
+// avoidFor is how long a job is kept from a machine on which it failed. Where
+// there are few machines it has to be tried there again.
+const avoidFor = 40 * time.Second
+
+// inDoubt reports whether the machine may be faulty.
+func (m *machine) inDoubt(now time.Time) bool {
+	n := 0
+	for _, at := range m.failures {
+		if now.Sub(at) < doubtFor {
+			n++
+		}
+	}
+	return n >= 2
+}
+
+// judge takes in whose fault a failure was. Where tasks completed lately, one
+// failure of a job that is well is not enough to call the machine faulty.
+func (m *machine) judge(v *Verdict, now time.Time) {
+	if !v.AtFault {
+		delete(m.failures, v.Job)
+		return
+	}
+	m.blamed[v.Job] = true
+	m.faulty = len(m.blamed) >= 2 || m.doneAt.IsZero() || now.Sub(m.doneAt) > time.Minute
+	if m.faulty {
+		slog.Info("machine is faulty", "machine", m.name, "jobs_that_run_well_elsewhere", len(m.blamed))
+	}
+}
+
 // repeatStop is how long after a stop it is sent again: a task that saves takes
 // its time, and must not be told again with every answer until it is done.
 const repeatStop = 2 * time.Second
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -443,12 +443,17 @@
 		return
 	}
 	m := &machine{name: name, address: key.Address, typeName: key.Type, zone: key.Zone, spot: key.Spot, keyRev: keyRev, rev: rev,
-		tasks: map[taskKey]*task{}, images: map[string]time.Time{}, failures: map[string]time.Time{},
+		tasks: map[taskKey]*task{}, images: map[string]time.Time{}, failures: map[string]time.Time{}, blamed: map[string]bool{},
 		heard: now, answerEnd: now, kick: make(chan struct{}, 1), quit: make(chan struct{})}
-	if a.Images != nil {
-		for _, image := range a.Images(name) {
+	if a.Known != nil {
+		known := a.Known(name)
+		for _, image := range known.Images {
 			m.images[image] = now
 		}
+		m.faulty = known.Faulty
+		for _, id := range known.Blamed {
+			m.blamed[id] = true
+		}
 	}
 	if takenOver {
 		// The earlier owner may go on answering for its hold time.
--- a/agent/sample.go
+++ b/agent/sample.go
@@ -21,6 +21,8 @@
 		return "machine is being emptied"
 	case m.silent:
 		return "machine is silent"
+	case m.inDoubt(now):
+		return "machine may be faulty"
 	case m.unfenced():
 		return "a command to the machine is unanswered"
 	case m.rev > a.mirror.Rev():
@@ -36,7 +38,7 @@
 	case m.claimedBy != r.Spec.ID && now.Before(m.claimedUntil):
 		return "machine is being cleared for another job"
 	}
-	if _, failed := m.failures[r.Spec.ID]; failed {
+	if at, failed := m.failures[r.Spec.ID]; failed && now.Sub(at) < avoidFor {
 		return "job failed here before"
 	}
 	return ""
--- a/agent/service.go
+++ b/agent/service.go
@@ -160,6 +160,21 @@
 	return nil
 }
 
+// Judge takes what placers found out about tasks that failed.
+func (s *Service) Judge(verdicts []Verdict, _ *struct{}) error {
+	a := s.agent
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i := range verdicts {
+		if m := a.machines[verdicts[i].Machine]; m != nil && !m.gone {
+			m.judge(&verdicts[i], now)
+			a.touch(m)
+		}
+	}
+	return nil
+}
+
 // Void makes commits harmless that were sent but not answered, unless the task
 // is on the machine already. Only the owner that the commit went to can say so:
 // to a later life of the same controller the task is unknown although it may run.
@@ -254,6 +269,9 @@
 	if !m.idleSince.IsZero() {
 		e.Idle = max(time.Millisecond, now.Sub(m.idleSince))
 	}
+	for id := range m.blamed {
+		e.Blamed = append(e.Blamed, id)
+	}
 	for image := range m.images {
 		e.Images = append(e.Images, image)
 	}
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -85,6 +85,13 @@
 	Forget bool
 }
 
+// Verdict says whether a machine or the job is to blame for a task that failed.
+type Verdict struct {
+	Machine string
+	Job     string
+	AtFault bool // the machine: the job runs well elsewhere
+}
+
 // VoidRequest makes commits harmless that may still be under way.
 type VoidRequest struct {
 	Machine string
@@ -132,6 +139,7 @@
 	Draining bool
 	Silent   bool
 	Faulty   bool
+	Blamed   []string // jobs that run well elsewhere and failed here
 	Gone     bool
 	Notice   bool
 	Idle     time.Duration // time without tasks, when the entry was made
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -134,7 +134,7 @@
 		pl.OnEntries(entries)
 		st.OnEntries(entries)
 	})
-	ag.Images = feed.Images
+	ag.Known = feed.Known
 	ln, err := net.Listen("tcp4", c.settings.PeerListen)
 	if err != nil {
 		return fmt.Errorf("listening for peers: %w", err)
--- a/placer/events.go
+++ b/placer/events.go
@@ -144,6 +144,7 @@
 		first, last = 0, len(j.tasks)-1
 	}
 	p.clear(j, i)
+	p.succeeded(j)
 	for k := first; k <= last; k++ {
 		if j.done.Has(k) {
 			continue
@@ -166,16 +167,7 @@
 func (p *Placer) ended(j *jobState, i int, cause, machine string) {
 	slog.Info("task ended", "task", job.TaskID(j.spec.ID, i), "cause", cause, "machine", machine)
 	if cause == worker.Failed {
-		// Mostly the machine is at fault; a job that fails on every machine
-		// must not burn the fleet, so it waits longer each time.
-		j.errors++
-		j.avoid = append(j.avoid, machine)
-		if len(j.avoid) > 6 {
-			j.avoid = j.avoid[1:]
-		}
-		if j.errors > 1 {
-			j.nextTry = time.Now().Add(min(time.Minute, time.Second<<min(j.errors, 6)))
-		}
+		p.failed(j, machine)
 	}
 	p.lost(j, i)
 }
@@ -247,7 +239,10 @@
 	}
 	releases := p.releases
 	p.releases = nil
+	verdicts := p.verdicts
+	p.verdicts = nil
 	p.mu.Unlock()
+	p.sendVerdicts(ctx, verdicts)
 
 	byHost := map[string][]agent.StopItem{}
 	for _, item := range items {
--- /dev/null
+++ b/placer/failures.go
@@ -0,0 +1,118 @@
+package placer
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/job"
+	"robinstack/worker"
+)
+
+// A task that fails blames its machine or its job. A job of which anything has
+// succeeded is well, so its failures are the machine's. A job that failed on
+// several machines and succeeded on none was submitted with a mistake: it must
+// burn neither the fleet nor the good name of machines.
+
+// suspectAfter is on how many machines a job must have failed before it, rather
+// than they, is at fault; where it failed on one of them again, two are enough.
+const suspectAfter = 3
+
+// avoidFor is how long a job keeps away from machines on which it failed. Where
+// there are few, it has to be tried there again.
+const avoidFor = 40 * time.Second
+
+// longestBackoff is how long a job that fails everywhere waits at most between
+// two tries.
+const longestBackoff = time.Minute
+
+// failed notes that a task of the job failed on a machine.
+func (p *Placer) failed(j *jobState, machine string) {
+	p.counters.Failed++
+	j.avoid = append(j.avoid, machine)
+	if len(j.avoid) > 6 {
+		j.avoid = j.avoid[1:]
+	}
+	now := time.Now()
+	j.avoidTill = now.Add(avoidFor)
+	if j.doneCount > 0 {
+		p.judge(j, machine, true)
+		j.nextTry = now.Add(p.policy.RetryAfter)
+		return
+	}
+	if j.failedOn == nil {
+		j.failedOn = map[string]bool{}
+	}
+	again := j.failedOn[machine]
+	j.failedOn[machine] = true
+	if !again || j.suspect {
+		j.failures++
+	}
+	j.nextTry = now.Add(min(longestBackoff, time.Second<<min(j.failures, 6)))
+	switch {
+	case j.suspect:
+		p.judge(j, machine, false)
+	case len(j.failedOn) >= suspectAfter || len(j.failedOn) > 1 && again:
+		j.suspect = true
+		p.counters.Suspects++
+		slog.Info("job fails on every machine", "job", j.spec.ID, "class", j.spec.Class, "machines", len(j.failedOn))
+		for m := range j.failedOn {
+			p.judge(j, m, false)
+		}
+		for k := range j.tasks {
+			// What has not begun to run would fail as well.
+			if ts := &j.tasks[k]; ts.state == agent.Starting || ts.state == worker.Fetching {
+				p.stopTask(j, k, 0)
+			}
+		}
+	}
+}
+
+// succeeded notes that a task of the job has completed: where others of it
+// failed, the machine was at fault.
+func (p *Placer) succeeded(j *jobState) {
+	for m := range j.failedOn {
+		p.judge(j, m, true)
+	}
+	if j.suspect {
+		slog.Info("job is well after all", "job", j.spec.ID)
+		j.nextTry = time.Time{}
+	}
+	j.failedOn, j.failures, j.suspect = nil, 0, false
+}
+
+func (p *Placer) judge(j *jobState, machine string, atFault bool) {
+	p.verdicts = append(p.verdicts, agent.Verdict{Machine: machine, Job: j.spec.ID, AtFault: atFault})
+}
+
+// batch is how many of the job's tasks one placement looks for.
+func (j *jobState) batch() int {
+	switch {
+	case j.spec.Shape == job.Gang:
+		return len(j.tasks)
+	case j.suspect:
+		return 1
+	}
+	return batchTasks
+}
+
+// sendVerdicts tells owners what is known of their machines. One that is lost
+// does no harm: doubt about a machine passes by itself.
+func (p *Placer) sendVerdicts(ctx context.Context, verdicts []agent.Verdict) {
+	byHost := map[string][]agent.Verdict{}
+	for _, v := range verdicts {
+		if host, ok := p.feed.Owner(v.Machine); ok {
+			byHost[host] = append(byHost[host], v)
+		}
+	}
+	for host, list := range byHost {
+		go func() {
+			cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+			defer cancel()
+			if err := p.call.Call(cctx, host, "Agent.Judge", list, &struct{}{}); err != nil {
+				slog.Debug("judging machines", "host", host, "err", err)
+			}
+		}()
+	}
+}
--- a/placer/place.go
+++ b/placer/place.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -65,7 +66,11 @@
 		if w == 0 || j.spec.Shape == job.Gang && w < len(j.tasks) {
 			continue
 		}
-		queue = append(queue, item{j, p.policy.Order(j.spec, now.Sub(j.submitted))})
+		order := p.policy.Order(j.spec, now.Sub(j.submitted))
+		if j.suspect {
+			order = math.Inf(-1)
+		}
+		queue = append(queue, item{j, order})
 	}
 	slices.SortFunc(queue, func(a, b item) int {
 		return cmp.Or(cmp.Compare(b.order, a.order), cmp.Compare(a.j.spec.ID, b.j.spec.ID))
@@ -138,13 +143,16 @@
 		switch {
 		case j.done.Has(i):
 		case j.tasks[i].status == pending:
-			if len(indices) < batchTasks || spec.Shape == job.Gang {
+			if len(indices) < j.batch() {
 				indices = append(indices, i)
 			}
 		default:
 			others[j.tasks[i].zone]++
 		}
 	}
+	if time.Now().After(j.avoidTill) {
+		j.avoid = nil
+	}
 	req := agent.Request{Spec: *spec, Slot: j.slot, Epoch: s.epoch, Avoid: slices.Clone(j.avoid), Tasks: len(indices),
 		Share: p.policy.SampleMachines, Least: p.policy.SampleLeast, Spare: p.policy.MultiBind, Zones: openZones(spec, others, p.settings.Zones)}
 	p.mu.Unlock()
@@ -211,7 +219,10 @@
 // clearRoom has owners stop tasks of lower priority where a gang would then
 // fit. It returns whether room is being made, so that the gang tries again soon.
 func (p *Placer) clearRoom(ctx context.Context, j *jobState, req agent.Request, candidates []agent.Candidate, n int) bool {
-	if !p.policy.Preempt || j.spec.Priority() <= job.LowestPriority {
+	p.mu.Lock()
+	suspect := j.suspect
+	p.mu.Unlock()
+	if !p.policy.Preempt || suspect || j.spec.Priority() <= job.LowestPriority {
 		return false
 	}
 	soon := func() {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -66,7 +66,10 @@
 	tries     int
 	attempts  uint64
 	avoid     []string
-	errors    int
+	avoidTill time.Time
+	failedOn  map[string]bool // machines on which it failed, while none of it has succeeded
+	failures  int             // in a row, since any of it succeeded
+	suspect   bool            // it fails on every machine, as far as known
 
 	clearUntil time.Time // machines are being cleared for it; its placement's own
 }
@@ -108,6 +111,7 @@
 	stops    map[agent.TaskRef]bool // tasks that are being stopped
 	others   map[string]bool        // open jobs that other slots look after
 	forgets  []agent.StopItem
+	verdicts []agent.Verdict // on machines, to be told to their owners
 	releases []agent.TaskRef
 	fullAt   map[shapeKey]time.Time
 	gone     map[string]deleted // records deleted lately, which a slower read may still show
@@ -123,7 +127,7 @@
 
 // Counters count what the paper's mechanisms did.
 type Counters struct {
-	Placements, Samples, Conflicts, Fallbacks, Requeues, Unanswered, Lost uint64
+	Placements, Samples, Conflicts, Fallbacks, Requeues, Unanswered, Lost, Failed, Suspects uint64
 }
 
 // New returns a placer without slots.
@@ -515,8 +519,8 @@
 				d.Waiting++
 			}
 		}
-		if j.errors >= 3 {
-			d.Waiting = min(d.Waiting, 1)
+		if j.suspect {
+			d.Waiting = 0 // nothing is rented for it
 		}
 		req.Jobs = append(req.Jobs, d)
 	}
--- a/placer/service.go
+++ b/placer/service.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -54,8 +55,10 @@
 	switch {
 	case !p.mayStart(j):
 		return "its last placer has gone; machines are being checked for its tasks"
-	case j.errors > 1 && time.Now().Before(j.nextTry):
-		return "its tasks fail; trying again later"
+	case j.suspect:
+		return fmt.Sprintf("it failed on every one of %d machines; tried again seldom, one task at a time", len(j.failedOn))
+	case j.failures > 0 && time.Now().Before(j.nextTry):
+		return "its tasks failed; trying elsewhere shortly"
 	case j.spec.Shape == job.Gang && waiting < len(j.tasks):
 		return "tasks of its last attempt are still on machines"
 	case j.busy:
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -69,6 +69,8 @@
 		return n.svc.Commit(args.(agent.CommitRequest), reply.(*agent.CommitReply))
 	case "Agent.Stop":
 		return n.svc.Stop(args.(agent.StopRequest), &struct{}{})
+	case "Agent.Judge":
+		return n.svc.Judge(args.([]agent.Verdict), &struct{}{})
 	case "Agent.Void":
 		return n.svc.Void(args.(agent.VoidRequest), reply.(*agent.VoidReply))
 	case "Agent.Watch":
@@ -366,6 +368,66 @@
 	})
 }
 
+// Jobs submitted with a mistake fail on every machine: two of them had every
+// machine they touched marked as faulty for good. They must cost the machines
+// nothing, be tried one task at a time, and leave the room to others; a machine
+// on which only jobs fail that run well elsewhere is found all the same.
+func TestBrokenJobsDoNotCostMachines(t *testing.T) {
+	story(t, func(w *world) {
+		n := w.start("host-0")
+		w.boxes = append(w.boxes, w.workers.Add("m3", "box", "a"))
+		w.run(5 * time.Second)
+		for _, id := range []string{"wk-1", "wk-2"} {
+			w.submit(n, spec(id, job.Array, 6, 1))
+			w.run(2 * time.Second)
+			w.endAll(worker.Failed)
+			w.run(2 * time.Second)
+			w.endAll(worker.Failed)
+		}
+		w.run(10 * time.Second)
+		if got := w.tasks(); got > 2 {
+			t.Fatalf("%d tasks of jobs that fail everywhere are on machines", got)
+		}
+		w.submit(n, spec("wk-3", job.Array, 6, 1))
+		w.run(3 * time.Second)
+		_, entries := n.agent.Snapshot()
+		for _, e := range entries {
+			if e.Faulty {
+				t.Fatalf("%s is marked as faulty", e.Machine)
+			}
+		}
+		if got := len(w.starts()); got < 6 {
+			t.Fatalf("only %d different tasks were started", got)
+		}
+		started := 0
+		for k := range 6 {
+			started += w.starts()[fmt.Sprintf("wk-3/%d", k)]
+		}
+		if started < 4 {
+			t.Fatalf("%d tasks of the job that is well were started: broken ones keep its room", started)
+		}
+		bad := w.boxes[0]
+		var failing []string
+		w.workers.Do(func() {
+			for _, x := range bad.Report.Tasks {
+				failing = append(failing, x.ID)
+			}
+		})
+		for _, id := range failing {
+			w.workers.End(bad, id, worker.Failed)
+		}
+		w.run(2 * time.Second)
+		w.endAll(worker.Done)
+		w.run(3 * time.Second)
+		_, entries = n.agent.Snapshot()
+		for _, e := range entries {
+			if e.Faulty != (e.Machine == bad.Report.Machine) {
+				t.Fatalf("%s: faulty is %v", e.Machine, e.Faulty)
+			}
+		}
+	})
+}
+
 // A machine's key is removed once all on it is proven gone. If its owner dies
 // before its last entry has gone round, the placer must see it from the key: the
 // job waited for ever.
