--- /dev/null
+++ b/agent/health.go
@@ -0,0 +1,54 @@
+package agent
+
+import "time"
+
+// Health tells which paths of a controller work.
+type Health struct {
+	Host    string   `json:"host"`
+	StateOK bool     `json:"state_service_reached"`
+	Owned   int      `json:"machines_owned"`
+	Heard   int      `json:"machines_heard_lately"`
+	Marked  []Marked `json:"machines_marked"`
+}
+
+// Marked is a machine that gets no tasks because tasks failed there.
+type Marked struct {
+	Machine string   `json:"machine"`
+	Why     string   `json:"why"`
+	Jobs    []string `json:"jobs"`
+}
+
+// Health returns the state of this controller's paths and its marked machines.
+func (s *Service) Health(_ struct{}, reply *Health) error {
+	a := s.agent
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	reply.Host, reply.StateOK = a.member.Host, a.member.Certain()
+	for _, m := range a.machines {
+		if m.gone || m.removing {
+			continue
+		}
+		reply.Owned++
+		if now.Sub(m.heard) < 2*a.settings.Workers.Report {
+			reply.Heard++
+		}
+		mark := Marked{Machine: m.name}
+		switch {
+		case m.faulty:
+			mark.Why = "faulty: jobs failed here that run well elsewhere"
+			for id := range m.blamed {
+				mark.Jobs = append(mark.Jobs, id)
+			}
+		case m.inDoubt(now):
+			mark.Why = "in doubt: jobs failed here, and it is not known yet whose fault it was"
+			for id := range m.failures {
+				mark.Jobs = append(mark.Jobs, id)
+			}
+		default:
+			continue
+		}
+		reply.Marked = append(reply.Marked, mark)
+	}
+	return nil
+}
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -450,7 +450,8 @@
 		for _, image := range known.Images {
 			m.images[image] = now
 		}
-		m.faulty = known.Faulty
+		// A frozen steward may yet delete what its owner had emptied for it.
+		m.faulty, m.draining = known.Faulty, known.Draining
 		for _, id := range known.Blamed {
 			m.blamed[id] = true
 		}
--- a/config/config.go
+++ b/config/config.go
@@ -239,6 +239,17 @@
 	return s.Workers.Lease + s.Workers.Lease/200 + 1500*time.Millisecond
 }
 
+// Guest reports whether a team has no guarantee while others have one.
+func (s *Settings) Guest(team string) bool {
+	guaranteed := func(t Team) bool { return t.CPUs > 0 || t.GPUs > 0 }
+	for _, t := range s.Teams {
+		if guaranteed(t) {
+			return !guaranteed(s.Teams[team])
+		}
+	}
+	return false
+}
+
 // Limited reports whether a team has a limit that its tasks must not pass.
 func (s *Settings) Limited(team string) bool {
 	t := s.Teams[team]
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -37,6 +37,7 @@
 	workers   worker.Commander
 	catalogue *cloud.Catalogue
 	gateway   *gateway.Gateway
+	pauses    pauses
 }
 
 // New returns a controller that reaches the outside systems over the network.
@@ -47,7 +48,7 @@
 		cloud:   cloud.NewClient(settings.CloudAddress, 0.8*settings.CloudRPS),
 		workers: worker.NewClient(),
 	}
-	c.gateway = gateway.New(settings, c.store, c.catalogue)
+	c.gateway = gateway.New(settings, c.store, c.catalogue, c.pauses.totals)
 	return c
 }
 
@@ -58,6 +59,7 @@
 	if err != nil {
 		return fmt.Errorf("listening for users and workers: %w", err)
 	}
+	go c.pauses.watch(ctx)
 	go func() {
 		for ctx.Err() == nil {
 			if err := c.live(ctx); err != nil && ctx.Err() == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"sync"
@@ -41,19 +42,27 @@
 	catalogue *cloud.Catalogue
 	life      atomic.Pointer[Life]
 	app       *fiber.App
+	latencies *latencies
+	pauses    func() (count int, longest time.Duration)
 
-	mu     sync.Mutex
-	finals map[string]job.Final // answers that never change any more
+	asking  atomic.Int64 // queries that are being answered
+	refused atomic.Int64 // queries refused because too many came
+	mu      sync.Mutex
+	finals  map[string]job.Final // answers that never change any more
 }
 
 // maxFinals bounds the cache of final answers.
 const maxFinals = 20_000
 
+// mostAsking bounds the queries that are answered at the same time; those that
+// wait for the state service share one request, so many are cheap.
+const mostAsking = 400
+
 const maxBody = 64 << 10
 
 // New returns a gateway that has no life to serve yet.
-func New(settings *config.Settings, store statekv.Store, catalogue *cloud.Catalogue) *Gateway {
-	g := &Gateway{settings: settings, store: store, catalogue: catalogue, finals: map[string]job.Final{}}
+func New(settings *config.Settings, store statekv.Store, catalogue *cloud.Catalogue, pauses func() (int, time.Duration)) *Gateway {
+	g := &Gateway{settings: settings, store: store, catalogue: catalogue, latencies: newLatencies(), pauses: pauses, finals: map[string]job.Final{}}
 	g.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		BodyLimit:             maxBody,
@@ -72,11 +81,11 @@
 			return fail(c, code, err.Error())
 		},
 	})
-	g.app.Post("/v1/report", g.report)
+	g.app.Post("/v1/report", g.latencies.timed("report", g.report))
 	g.app.Get("/ready", g.ready)
-	g.app.Post("/submissions", g.submit)
-	g.app.Get("/submissions/:id", g.query)
-	g.app.Post("/submissions/:id/abort", g.cancel)
+	g.app.Post("/submissions", g.latencies.timed("submission", g.submit))
+	g.app.Get("/submissions/:id", g.latencies.timed("query", g.query))
+	g.app.Post("/submissions/:id/abort", g.latencies.timed("cancellation", g.cancel))
 	g.app.Get("/status.json", g.status)
 	return g
 }
@@ -212,6 +221,9 @@
 		if f, ok := g.final(id); ok {
 			return finalStatus(id, f), nil
 		}
+		if !g.store.Room(statekv.Lookups, 1) {
+			return jobStatus{}, fmt.Errorf("%w: too many questions about jobs that are over or unknown", statekv.ErrRefused)
+		}
 		f, err := job.ReadFinal(ctx, g.store, id)
 		if err != nil {
 			return jobStatus{}, err
@@ -306,6 +318,17 @@
 	if !job.ValidID(id) {
 		return fail(c, fiber.StatusNotFound, "no such job")
 	}
+	if f, ok := g.final(id); ok {
+		return c.JSON(finalStatus(id, f))
+	}
+	// Beyond what can be answered in time, queries are refused at once:
+	// submissions, cancellations and reports need the processor more.
+	if g.asking.Add(1) > mostAsking {
+		g.asking.Add(-1)
+		g.refused.Add(1)
+		return later(c, "too many questions at the moment")
+	}
+	defer g.asking.Add(-1)
 	ctx, cancel := context.WithTimeout(c.Context(), 1700*time.Millisecond)
 	defer cancel()
 	s, err := g.lookup(ctx, id)
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"robinstack/cloud"
+	"robinstack/config"
+	"robinstack/fakes"
+	"robinstack/job"
+	"robinstack/statekv"
+)
+
+// tight is a state service whose share for lookups is used up.
+type tight struct{ *fakes.State }
+
+func (tight) Room(kind statekv.Kind, _ int) bool { return kind != statekv.Lookups }
+
+// When users ask many times as often, surplus questions are refused at once, with
+// the time to come back, and neither they nor questions about jobs that nobody
+// submitted use up what submissions need. What is known for ever is answered.
+func TestSurplusQueriesAreRefusedEarly(t *testing.T) {
+	g := New(&config.Settings{Host: "host-0"}, tight{fakes.NewState()}, &cloud.Catalogue{}, func() (int, time.Duration) { return 0, 0 })
+	ask := func(id string) (status int, retryAfter string) {
+		resp, err := g.app.Test(httptest.NewRequest("GET", "/submissions/"+id, nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode, resp.Header.Get("Retry-After")
+	}
+	if code, again := ask("wk-1"); code != 503 || again == "" {
+		t.Fatalf("a question beyond the share for lookups: %d, Retry-After %q", code, again)
+	}
+	g.keepFinal("wk-2", job.Final{Status: job.Done, Tasks: 1})
+	g.asking.Store(mostAsking)
+	if code, again := ask("wk-1"); code != 503 || again == "" || g.refused.Load() != 1 {
+		t.Fatalf("a surplus question: %d, Retry-After %q, %d refused", code, again, g.refused.Load())
+	}
+	if code, _ := ask("wk-2"); code != 200 {
+		t.Fatalf("a question whose answer never changes: %d", code)
+	}
+}
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"log/slog"
 	"slices"
 	"strings"
 	"time"
@@ -12,6 +13,7 @@
 	"robinstack/agent"
 	"robinstack/job"
 	"robinstack/placer"
+	"robinstack/steward"
 	"robinstack/worker"
 )
 
@@ -21,6 +23,12 @@
 	Ready      bool             `json:"state_service_reached"`
 	Steward    string           `json:"steward"`
 	Teams      []TeamStatus     `json:"teams"`
+	Health     []agent.Health   `json:"controllers"`
+	Overdue    []steward.Late   `json:"boots_overdue"`
+	Latency    []Latency        `json:"answer_times_here"`
+	Refused    int64            `json:"queries_refused_here"`
+	Pauses     int              `json:"pauses_here"`
+	PauseS     float64          `json:"longest_pause_s"`
 	Fleet      []PoolStatus     `json:"fleet"`
 	Machines   []MachineStatus  `json:"machines,omitempty"`
 	Waiting    []placer.Waiting `json:"waiting"`
@@ -41,6 +49,7 @@
 	BorrowedCPUs   float64 `json:"cpus_borrowed"`
 	BorrowedGPUs   float64 `json:"gpus_borrowed"`
 	Waiting        int     `json:"tasks_waiting"`
+	Guest          bool    `json:"guest"` // no guarantee while others have one
 }
 
 // PoolStatus sums up the machines of one kind in one zone.
@@ -87,10 +96,12 @@
 	s.Fleet = g.pools(entries)
 	s.Machines = machineList(entries, c.Query("machines"))
 	waiting := g.waiting(c.Context(), l, &s)
+	g.troubles(c.Context(), l, &s)
 	for name, t := range g.settings.Teams {
 		u := held[name]
 		s.Teams = append(s.Teams, TeamStatus{Team: name, CPUs: u.CPUs, GPUs: u.GPUs, GuaranteedCPUs: t.CPUs, GuaranteedGPUs: t.GPUs,
-			MostCPUs: t.CPUsMax, MostGPUs: t.GPUsMax, BorrowedCPUs: max(0, u.CPUs-t.CPUs), BorrowedGPUs: max(0, u.GPUs-t.GPUs), Waiting: waiting[name]})
+			MostCPUs: t.CPUsMax, MostGPUs: t.GPUsMax, BorrowedCPUs: max(0, u.CPUs-t.CPUs), BorrowedGPUs: max(0, u.GPUs-t.GPUs), Waiting: waiting[name],
+			Guest: g.settings.Guest(name)})
 	}
 	slices.SortFunc(s.Teams, func(a, b TeamStatus) int { return strings.Compare(a.Team, b.Team) })
 	return c.JSON(s)
@@ -163,15 +174,41 @@
 	return out
 }
 
-// waiting gathers the jobs that wait, from all placers.
-func (g *Gateway) waiting(ctx context.Context, l *Life, s *Status) map[string]int {
-	byTeam := map[string]int{}
+// troubles gathers what operators have to tell apart: lost paths, marked
+// machines, late boots, refused queries, pauses.
+func (g *Gateway) troubles(ctx context.Context, l *Life, s *Status) {
+	cctx, cancel := context.WithTimeout(ctx, 700*time.Millisecond)
+	defer cancel()
+	s.Health, s.Overdue = []agent.Health{}, []steward.Late{}
+	for _, h := range g.hosts() {
+		var health agent.Health
+		if !slices.Contains(s.Unreadable, h) && l.Call.Call(cctx, h, "Agent.Health", struct{}{}, &health) == nil {
+			s.Health = append(s.Health, health)
+		}
+	}
+	if s.Steward != "" {
+		if err := l.Call.Call(cctx, s.Steward, "Steward.Overdue", struct{}{}, &s.Overdue); err != nil {
+			slog.Debug("asking for late boots", "err", err)
+		}
+	}
+	s.Latency, s.Refused = g.latencies.show(), g.refused.Load()
+	count, longest := g.pauses()
+	s.Pauses, s.PauseS = count, longest.Seconds()
+}
+
+func (g *Gateway) hosts() []string {
 	hosts := []string{g.settings.Host}
 	for _, p := range g.settings.Peers {
 		hosts = append(hosts, p.Host)
 	}
+	return hosts
+}
+
+// waiting gathers the jobs that wait, from all placers.
+func (g *Gateway) waiting(ctx context.Context, l *Life, s *Status) map[string]int {
+	byTeam := map[string]int{}
 	s.Waiting, s.Unreadable = []placer.Waiting{}, []string{}
-	for _, h := range hosts {
+	for _, h := range g.hosts() {
 		cctx, cancel := context.WithTimeout(ctx, 700*time.Millisecond)
 		var reply []placer.Waiting
 		if err := l.Call.Call(cctx, h, "Placer.Queue", 100, &reply); err != nil {
--- a/statekv/client.go
+++ b/statekv/client.go
@@ -102,7 +102,7 @@
 	Revoke(ctx context.Context, lease uint64) error
 	Follow(ctx context.Context, prefix string, since uint64, block time.Duration) (News, error)
 
-	// Room reports whether n changes of a kind that can wait may be made now,
+	// Room reports whether n requests of a kind that can wait may be made now,
 	// and counts them if so: submissions, cancellations and ends of jobs must
 	// not queue behind hundreds of machines.
 	Room(kind Kind, n int) bool
@@ -111,14 +111,17 @@
 // Kind is a kind of change that can wait.
 type Kind int
 
-// Claims keep work alive and go before Chores (folding, removing keys).
+// Claims keep work alive and go before Chores (folding, removing keys). Lookups
+// are reads for users who ask about jobs that are over or were never submitted.
 const (
 	Claims Kind = iota
 	Chores
+	Lookups
 )
 
-// shares are the parts of a controller's changes that each kind may use.
-var shares = [...]float64{Claims: 0.7, Chores: 0.5}
+// shares are the parts of a controller's changes, or for lookups of its
+// requests, that each kind may use.
+var shares = [...]float64{Claims: 0.7, Chores: 0.5, Lookups: 0.3}
 
 // Client talks to the state service over HTTP and keeps this controller's
 // share of the service's limits.
@@ -158,7 +161,11 @@
 	c.writes.SetLimit(rate.Limit(changes))
 	c.writes.SetBurst(int(max(26, changes)))
 	for k, share := range shares {
-		c.kinds[k].SetLimit(rate.Limit(share * changes))
+		of := changes
+		if Kind(k) == Lookups {
+			of = requests
+		}
+		c.kinds[k].SetLimit(rate.Limit(share * of))
 	}
 }
 
