--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -36,6 +36,7 @@
 	toldAt   time.Time          // when the log last had the totals
 	lows     map[pool]*lowWater // idle machines of each pool
 	backlog  backlog
+	boots    bootWatch
 	mute     int      // machines that have not answered their new owners
 	untold   []string // deleted machines of whose end their owners do not know
 }
@@ -52,6 +53,7 @@
 type boot struct {
 	pool
 	since time.Time
+	ours  bool // rented under this epoch, so since is exact
 }
 
 func newFleet() fleet {
@@ -112,7 +114,7 @@
 			f.listed[m.Name] = now
 		}
 		if _, known := f.booting[m.Name]; !known && f.deleted[m.Name].IsZero() && m.Status != "failed" {
-			f.booting[m.Name] = boot{pool{m.Type, m.Zone, m.Spot}, now.Add(-time.Duration(m.AgeS * float64(time.Second)))}
+			f.booting[m.Name] = boot{pool: pool{m.Type, m.Zone, m.Spot}, since: now.Add(-time.Duration(m.AgeS * float64(time.Second)))}
 		}
 	}
 	// A machine that was listed stays so until it is gone; a list may be older
@@ -126,6 +128,16 @@
 	}
 }
 
+// cameUp notes that a machine is up, and how long that took.
+func (f *fleet) cameUp(name string, now time.Time) {
+	if b, ok := f.booting[name]; ok {
+		if b.ours {
+			f.boots.note(b.pool, now.Sub(b.since))
+		}
+		delete(f.booting, name)
+	}
+}
+
 // A rental may ask for at most maxHire machines; maxRentals are at work at a
 // time, which leaves room for lists and returns within the cloud's limit.
 const (
@@ -200,7 +212,7 @@
 	}
 	for _, e := range entries {
 		present[e.Machine] = true
-		delete(f.booting, e.Machine)
+		f.cameUp(e.Machine, now)
 		if at := f.deleted[e.Machine]; !at.IsZero() {
 			// Its key is still to be removed. An owner that took over since then
 			// has to be told.
@@ -251,21 +263,7 @@
 		f.resumAt = now
 		s.ledger.resum()
 	}
-	for name, b := range f.booting {
-		if _, owned := s.mirror.Get(statekv.MachinePrefix + name); owned {
-			// It is up; its owner's entry just has not come yet. To a new
-			// steward that is every machine at first.
-			delete(f.booting, name)
-			continue
-		}
-		t := types[b.typeName]
-		if age := now.Sub(b.since); age > 3*t.Boot()+15*time.Second {
-			slog.Info("boot is too late", "machine", name, "age", age.Round(time.Second))
-			deletes = append(deletes, name)
-			continue
-		}
-		bins = append(bins, &bin{name: name, typeName: b.typeName, zone: b.zone, spot: b.spot, free: job.Capacity(t), empty: true})
-	}
+	bins = append(bins, s.bootingBins(types, now, &deletes)...)
 	var demands []Demand
 	turn := newTurnover(types)
 	for host, d := range s.demand {
@@ -306,13 +304,13 @@
 	}
 	if now.Sub(f.toldAt) > 10*time.Second {
 		f.toldAt = now
-		s.tellFleet(bins, demands, len(f.booting))
+		s.tellFleet(bins, demands, len(entries), len(f.booting))
 	}
 	return rentals, append(returns, s.spare(bins, idle, now)...), deletes
 }
 
 // tellFleet logs the totals that renting and returning go by.
-func (s *Steward) tellFleet(bins []*bin, demands []Demand, booting int) {
+func (s *Steward) tellFleet(bins []*bin, demands []Demand, machines, booting int) {
 	empty, planned, waiting := 0, 0, 0
 	free := 0.0
 	for _, b := range bins {
@@ -327,7 +325,7 @@
 	for _, d := range demands {
 		waiting += d.Waiting
 	}
-	slog.Info("fleet", "machines", len(bins)-booting, "booting", booting, "empty", empty, "empty_planned_for", planned, "gpus_left", free, "tasks_waiting", waiting)
+	slog.Info("fleet", "machines", machines, "booting", booting, "empty", empty, "empty_planned_for", planned, "gpus_left", free, "tasks_waiting", waiting)
 }
 
 // spare names the machines to return. In a large fleet each machine gets a task
@@ -516,7 +514,7 @@
 		f.limits[p] = min(4*f.limits[p], maxRentals*maxHire)
 	}
 	for _, name := range names {
-		f.booting[name] = boot{p, now}
+		f.booting[name] = boot{pool: p, since: now, ours: true}
 	}
 	slog.Info("rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "wanted", r.Count, "got", len(names))
 }
