--- a/config/config.go
+++ b/config/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -239,6 +240,26 @@
 	return s.Workers.Lease + s.Workers.Lease/200 + 1500*time.Millisecond
 }
 
+// Limits are the times, from its submission, by which a job should be done: those
+// that the users' aims for its class name, in rising order, or else its deadline.
+func (s *Settings) Limits(class string, deadlineS *float64) []time.Duration {
+	var out []time.Duration
+	for _, o := range s.Objectives {
+		switch {
+		case o.Class != class:
+		case o.Kind == "finished":
+			out = append(out, o.Within)
+		case o.Kind == "deadline" && deadlineS != nil:
+			out = append(out, Seconds(*deadlineS*max(1, o.Times)))
+		}
+	}
+	if out == nil && deadlineS != nil {
+		out = append(out, Seconds(*deadlineS))
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Guest reports whether a team has no guarantee while others have one.
 func (s *Settings) Guest(team string) bool {
 	guaranteed := func(t Team) bool { return t.CPUs > 0 || t.GPUs > 0 }
--- a/placer/place.go
+++ b/placer/place.go
@@ -66,7 +66,7 @@
 		if w == 0 || j.spec.Shape == job.Gang && w < len(j.tasks) {
 			continue
 		}
-		order := p.policy.Order(j.spec, now.Sub(j.submitted))
+		order := p.policy.Order(j.spec, now.Sub(j.submitted), p.settings.Limits(j.spec.Class, j.spec.DeadlineS))
 		if j.suspect {
 			order = math.Inf(-1)
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -162,9 +162,10 @@
 }
 
 // Order puts jobs in the queue's order, higher first. The built-in order is
-// rank, then the deadline, with those behind that can no longer meet it, the
-// rest by age.
-func (p *Policy) Order(spec *job.Spec, age time.Duration) float64 {
+// rank; jobs without a deadline by age; then those that can still meet the
+// earliest of limits, by when that is; those that can still meet the next; and
+// last those that are too late for all.
+func (p *Policy) Order(spec *job.Spec, age time.Duration, limits []time.Duration) float64 {
 	if p.order != nil {
 		env := jobEnv{Rank: spec.Priority(), Class: spec.Class, Team: spec.Team, Tasks: spec.Tasks, GPUs: spec.GPUs, CPUs: spec.CPUs,
 			AgeS: age.Seconds(), EstimateS: spec.EstimateS, HasDue: spec.DeadlineS != nil}
@@ -181,9 +182,10 @@
 	if spec.DeadlineS == nil {
 		return order + classes + age.Seconds()
 	}
-	left := *spec.DeadlineS - age.Seconds()
-	if left >= spec.EstimateS {
-		return order + classes - left
+	for k, limit := range limits {
+		if left := (limit - age).Seconds(); left >= spec.EstimateS {
+			return order + classes/float64(k+1) - left
+		}
 	}
-	return order - left
+	return order + age.Seconds() - *spec.DeadlineS
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -17,7 +17,7 @@
 		t.Fatalf("%+v", p)
 	}
 	night, day := &job.Spec{Rank: "normal", Team: "night"}, &job.Spec{Rank: "normal", Team: "day"}
-	if p.Order(night, time.Minute) <= p.Order(day, 2*time.Minute) {
+	if p.Order(night, time.Minute, nil) <= p.Order(day, 2*time.Minute, nil) {
 		t.Fatal("the operators' order is not used")
 	}
 	for source, want := range map[string]string{
@@ -36,17 +36,25 @@
 	}
 }
 
-// Jobs that can still meet their deadline go before those that cannot.
+// Jobs that can still meet their deadline go before those that cannot, and of
+// these those first that can still meet the users' next aim.
 func TestDeadlineOrder(t *testing.T) {
-	due := func(s float64) *job.Spec { return &job.Spec{Rank: "normal", EstimateS: 50, DeadlineS: &s} }
 	p := Default()
-	if p.Order(due(200), 100*time.Second) <= p.Order(due(300), 100*time.Second) {
+	order := func(rank string, due float64, age time.Duration) float64 {
+		limits := []time.Duration{time.Duration(due) * time.Second, time.Duration(due*1.5) * time.Second}
+		return p.Order(&job.Spec{Rank: rank, EstimateS: 50, DeadlineS: &due}, age, limits)
+	}
+	const age = 100 * time.Second
+	if order("normal", 200, age) <= order("normal", 300, age) {
 		t.Error("the earlier deadline goes first")
 	}
-	if p.Order(due(110), 100*time.Second) >= p.Order(due(300), 100*time.Second) {
-		t.Error("a deadline that cannot be met any more goes last")
+	if order("normal", 110, age) >= order("normal", 300, age) {
+		t.Error("a deadline that cannot be met any more goes behind")
+	}
+	if order("normal", 60, age) >= order("normal", 110, age) {
+		t.Error("a job that is too late for every aim goes last")
 	}
-	if p.Order(&job.Spec{Rank: "high"}, 0) <= p.Order(due(160), 100*time.Second) {
+	if p.Order(&job.Spec{Rank: "high"}, 0, nil) <= order("normal", 160, age) {
 		t.Error("rank goes before everything")
 	}
 }
