--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -371,6 +371,43 @@
 	})
 }
 
+// Small tasks that are not in the gang's way go on: they were stopped first, being
+// the cheapest to stop, and those that do not save began anew again and again.
+func TestClearingSparesWhatIsNotInTheWay(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		epoch := slot(t, n, "s", 0)
+		w := workers.Add("m1", "box", "a")
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		for k, need := range []job.Need{{CPUs: 6, GPUs: 1}, {CPUs: 0.5}} {
+			req := agent.CommitRequest{Machine: "m1", Rev: n.entries()["m1"].Rev, Refs: []agent.TaskRef{{Job: "wk-1", Index: k, Attempt: uint64(k + 1)}}}
+			req.Spec = job.Spec{ID: "wk-1", Shape: job.Array, Rank: "normal", Tasks: 2, Need: need}
+			req.Slot, req.Epoch = "s", epoch
+			var reply agent.CommitReply
+			if err := n.service.Commit(req, &reply); err != nil || reply.Verdicts[0] != agent.Started {
+				t.Fatalf("%+v %v", reply, err)
+			}
+			time.Sleep(5 * time.Second)
+			n.report(workers, w)
+		}
+		gang := agent.CommitRequest{Machine: "m1", Rev: n.entries()["m1"].Rev}
+		gang.Slot, gang.Epoch = "s", epoch
+		gang.Spec = job.Spec{ID: "wk-2", Shape: job.Gang, Rank: "high", Tasks: 1, Need: job.Need{CPUs: 7, GPUs: 2}}
+		var reply agent.CommitReply
+		if err := n.service.Clear(gang, &reply); err != nil || reply.Verdicts[0] != agent.Held {
+			t.Fatalf("%+v %v", reply, err)
+		}
+		time.Sleep(time.Second)
+		n.report(workers, w)
+		for _, task := range n.entries()["m1"].Tasks {
+			if (task.State == worker.Ended) != (task.Index == 0) {
+				t.Fatalf("task %d: %s", task.Index, task.State)
+			}
+		}
+	})
+}
+
 // A claim that was written although its answer was lost is taken up even if the
 // worker never reports again: until somebody looks after the machine, no slot
 // that is adopted can settle.
--- a/agent/clear.go
+++ b/agent/clear.go
@@ -46,13 +46,20 @@
 	slices.SortFunc(options, func(a, b option) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.t.id, b.t.id))
 	})
-	for _, o := range options {
-		if r.Spec.Fits(free) {
-			break
+	n := 0
+	for ; n < len(options) && !r.Spec.Fits(free); n++ {
+		free = free.Add(options[n].t.spec.Need, 1)
+	}
+	// What was picked early may turn out not to be in the way: small tasks are
+	// the cheapest to stop, and make the least room.
+	for k := n - 1; k >= 0; k-- {
+		o := options[k]
+		if without := free.Add(o.t.spec.Need, -1); r.Spec.Fits(without) {
+			free = without
+			continue
 		}
 		stop = append(stop, o.t)
 		cost += o.cost
-		free = free.Add(o.t.spec.Need, 1)
 	}
 	if _, has := m.images[r.Spec.Image]; !has && t.FetchGBPerS > 0 {
 		cost += r.Spec.ImageGB / t.FetchGBPerS * max(r.Spec.GPUs, 1)
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -431,7 +431,7 @@
 		}
 		g.spec.Rank = "best_effort" // behind all that really waits
 		g.spec.DeadlineS = nil
-		out = append(out, Demand{Spec: g.spec, Waiting: s.policy.WarmGangs})
+		out = append(out, Demand{Spec: g.spec, Waiting: s.policy.WarmGangs, Warm: true})
 	}
 	return out
 }
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -65,6 +65,7 @@
 	rent   map[pool]int
 	left   int  // machines that may still be rented
 	urgent bool // rent dear machines too
+	idle   bool // for work that fills what is spare: rent only the cheapest
 }
 
 func gpuBucket(free job.Need) int { return max(0, min(64, int(free.GPUs+1e-9))) }
@@ -267,7 +268,8 @@
 		if left <= 0 {
 			continue
 		}
-		p.urgent = turn.growing || d.AgeS > urgentAge
+		p.idle = d.Spec.Priority() == job.LowestPriority && !d.Warm
+		p.urgent = (turn.growing || d.AgeS > urgentAge) && !p.idle
 		zone := ""
 		if d.Spec.OneZone && d.Spec.Shape == job.Gang {
 			zone = p.zoneFor(&d.Spec, left, zones)
@@ -298,6 +300,10 @@
 // much that the work is better done some minutes later.
 const dear = 4
 
+// spareCost is how many times as much as the cheapest place there is a place may
+// cost for work of the lowest priority, which is to fill what is spare.
+const spareCost = 1.2
+
 // urgentAge is the age in seconds from which on a job gets dear machines too.
 const urgentAge = 180
 
@@ -320,7 +326,7 @@
 			best, fits, bestCost = o, n, cost
 		}
 	}
-	if bestCost > dear*least && !p.urgent {
+	if bestCost > dear*least && !p.urgent || bestCost > spareCost*least && p.idle {
 		return nil, 0
 	}
 	return best, fits
--- a/steward/wire.go
+++ b/steward/wire.go
@@ -34,6 +34,7 @@
 	Waiting int
 	Running int
 	AgeS    float64
+	Warm    bool // room kept ready for gangs to come
 }
 
 // DemandRequest tells the steward what a controller's jobs need.
