--- a/agent/balance.go
+++ b/agent/balance.go
@@ -142,7 +142,7 @@
 )
 
 // evenOut lists shards to take from the controller that owns most, if this one
-// owns least and much less than its part, and can reach the machines.
+// owns least and less than a quarter of its part, and can reach the machines.
 func (a *Agent) evenOut(ctx context.Context, shards, machines []statekv.KV, hosts []string, now time.Time) map[string]string {
 	a.mu.Lock()
 	quiet := len(a.home) > 0 && now.Sub(a.note(shards, now)) >= settledFor
@@ -173,7 +173,7 @@
 	}
 	mean := len(machines) / len(hosts)
 	mine, theirs := owned[a.member.Host], owned[richest]
-	if poorest != a.member.Host || mine > mean/2 {
+	if poorest != a.member.Host || mine > mean/4 {
 		return nil
 	}
 	out := map[string]string{}
