--- a/agent/health.go
+++ b/agent/health.go
@@ -24,7 +24,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	reply.Host, reply.StateOK = a.member.Host, a.member.Certain()
+	reply.Host, reply.StateOK, reply.Marked = a.member.Host, a.member.Certain(), []Marked{}
 	for _, m := range a.machines {
 		if m.gone || m.removing {
 			continue
