--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -428,6 +428,54 @@
 	})
 }
 
+// What a controller that stood still past its lease had under way, and sends when it
+// goes on as if nothing had happened, has no effect: not a commit at a peer, not a
+// command to a worker, not a write. Guards against ran_twice and went_back.
+func TestControllerThatStoodStillDoesNoHarm(t *testing.T) {
+	story(t, func(w *world) {
+		frozen := w.start("host-0")
+		w.run(3 * time.Second)
+		w.submit(frozen, spec("wk-1", job.Array, 2, 1))
+		w.run(2 * time.Second)
+		slot, epoch, _ := frozen.placer.Home()
+		var token uint64
+		w.workers.Do(func() { token = w.boxes[0].Report.Token })
+		n := w.start("host-1")
+		w.run(2 * time.Second)
+		w.mu.Lock()
+		frozen.up = false
+		w.mu.Unlock()
+		if err := w.state.Revoke(w.ctx, 1); err != nil {
+			t.Fatal(err)
+		}
+		w.run(12 * time.Second)
+		before := w.tasks()
+
+		_, entries := n.agent.Snapshot()
+		commit := agent.CommitRequest{Machine: "m1", Refs: []agent.TaskRef{{Job: "wk-1", Index: 1, Attempt: epoch<<20 + 99}}}
+		for _, e := range entries {
+			if e.Machine == "m1" {
+				commit.Rev = e.Rev
+			}
+		}
+		commit.Spec, commit.Slot, commit.Epoch = spec("wk-1", job.Array, 2, 1), slot, epoch
+		var reply agent.CommitReply
+		if err := n.svc.Commit(commit, &reply); err != nil || commit.Rev == 0 || reply.Verdicts[0] != agent.Refused {
+			t.Errorf("a commit under the old epoch: %+v %v", reply, err)
+		}
+		if _, done, _ := w.workers.Command(w.ctx, "m1", token, 1, []worker.Order{worker.Start("wk-1/1", 7)}); done {
+			t.Error("a command under the old token was carried out")
+		}
+		if _, err := frozen.member.Write(w.ctx, nil, []statekv.Op{{Delete: job.OpenKey("wk-1")}}); !statekv.IsConflict(err) {
+			t.Errorf("a write of the old life: %v", err)
+		}
+		w.run(3 * time.Second)
+		if w.tasks() != before {
+			t.Errorf("%d tasks on machines, %d before", w.tasks(), before)
+		}
+	})
+}
+
 // A machine's key is removed once all on it is proven gone. If its owner dies
 // before its last entry has gone round, the placer must see it from the key: the
 // job waited for ever.
