--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -458,7 +458,7 @@
 				commit.Rev = e.Rev
 			}
 		}
-		commit.Spec, commit.Slot, commit.Epoch = spec("wk-1", job.Array, 2, 1), slot, epoch
+		commit.Spec, commit.Slot, commit.Epoch = spec("wk-1", job.Array, 2, 0), slot, epoch
 		var reply agent.CommitReply
 		if err := n.svc.Commit(commit, &reply); err != nil || commit.Rev == 0 || reply.Verdicts[0] != agent.Refused {
 			t.Errorf("a commit under the old epoch: %+v %v", reply, err)
