--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -328,19 +328,14 @@
 	slog.Info("fleet", "machines", machines, "booting", booting, "empty", empty, "empty_planned_for", planned, "gpus_left", free, "tasks_waiting", waiting)
 }
 
-// largePool is the number of machines from which on a pool's idle ones are returned
-// sooner: what comes next averages out over many.
-const largePool = 40
-
 // spare names the machines to return. In a large fleet each machine gets a task
 // now and then, so that none is idle for long although many are at any moment:
 // of a pool, as many are spare as were idle all the time, whichever they were.
 // Those that have been idle longest go.
 func (s *Steward) spare(bins []*bin, idle map[string]time.Duration, now time.Time) []string {
-	names, size := map[pool][]string{}, map[pool]int{}
+	names := map[pool][]string{}
 	for _, b := range bins {
 		p := pool{b.typeName, b.zone, b.spot}
-		size[p]++
 		if _, known := names[p]; !known {
 			names[p] = nil
 		}
@@ -355,11 +350,7 @@
 			low = &lowWater{}
 			s.fleet.lows[p] = low
 		}
-		span := s.policy.IdleReturn
-		if size[p] >= largePool {
-			span = span * 3 / 5
-		}
-		n := low.add(now, len(idlers), span)
+		n := low.add(now, len(idlers), s.policy.IdleReturn)
 		slices.SortFunc(idlers, func(a, b string) int {
 			return cmp.Or(cmp.Compare(idle[b], idle[a]), cmp.Compare(a, b))
 		})
