Machines that do not answer their new owner are given up after 3 s instead of 6

Change: silent after 3 s without an answer to a new owner; up to a fiftieth of the fleet is deleted at once, up to a twentieth after 3 s more, beyond that none, as before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -225,8 +225,9 @@
 }
 
 // unsettledQuiet is how long a machine may leave its new owner's commands
-// unanswered before it counts as silent.
-const unsettledQuiet = 6 * time.Second
+// unanswered before it counts as silent: a command that its worker gets is
+// answered within milliseconds, and one that is lost is sent again by then.
+const unsettledQuiet = 3 * time.Second
 
 // inspect does what time brings: reservations expire, silent machines are
 // noticed, and tasks of unreachable workers are gone once their lease ran out.
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -460,6 +460,10 @@
 	return demands
 }
 
+// muteDoubt is how long machines are left alone that do not answer their new
+// owners, where they are more than a few: their owner may be slow to begin.
+const muteDoubt = 3 * time.Second
+
 // isLost says why a machine will not come back, or nothing.
 func (s *Steward) isLost(e *agent.Entry, now time.Time) string {
 	f := &s.fleet
@@ -476,7 +480,7 @@
 		return "failed"
 	case e.Notice:
 		return "taken on notice"
-	case !e.Settled && f.mute <= max(2, len(s.ledger.held)/20):
+	case !e.Settled && (f.mute <= max(2, len(s.ledger.held)/50) || f.mute <= len(s.ledger.held)/20 && now.Sub(f.silent[e.Machine]) > muteDoubt):
 		// Jobs of a placer that died wait until it is known what runs there;
 		// deleting a machine is the fastest proof. If many do not answer, it is
 		// rather their owner or a zone that is cut off, and their work goes on.
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -133,9 +133,17 @@
 			entries = append(entries, agent.Entry{Machine: fmt.Sprint("m", i), Rev: 1, Ver: 1, Type: "box", Settled: i >= 3, Silent: i < 3})
 		}
 		s.OnEntries(entries)
-		s.fleet.mute = 3
+		s.fleet.mute = 2
 		if s.isLost(&entries[0], time.Now()) == "" || s.isLost(&entries[9], time.Now()) != "" {
-			t.Fatal("three of a hundred that do not answer are given up")
+			t.Fatal("two of a hundred that do not answer are given up at once")
+		}
+		s.fleet.mute = 3
+		if why := s.isLost(&entries[0], time.Now()); why != "" {
+			t.Fatalf("three of a hundred, at once: %s", why)
+		}
+		time.Sleep(4 * time.Second)
+		if s.isLost(&entries[0], time.Now()) == "" {
+			t.Fatal("three of a hundred are given up after some seconds")
 		}
 		s.fleet.mute = 30
 		if why := s.isLost(&entries[0], time.Now()); why != "" {
