Roles of ended lives are taken together, and slots settle job by job

Every crash left shards and slots behind. Change: Member.TakeAll writes up to 24 roles with one transaction and drops those lost; a life that has just begun leaves to each controller its part for 2 s; home shards are reused, slots without jobs removed. A slot keeps the machines it waits for, none that is younger than its epoch, and holds up only jobs that those may have.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,7 +41,7 @@
 	released map[string]uint64 // machines given up, with the revision of our ownership
 	visits   map[string]visit  // workers that keep coming though their owner lives
 	seen     map[string]sight  // shards as seen last, and since when
-	gens     []int             // how often this life had to make each of its own shards
+	gens     map[int]int       // how often this life had to make a shard for each place
 	ver      uint64
 	changed  chan struct{}
 	counters Counters
@@ -57,7 +57,7 @@
 	return &Agent{
 		settings: settings, store: store, mirror: mirror, member: member, workers: workers, types: types,
 		claims: make(chan claim, 256), learns: make(chan struct{}, 1),
-		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, claiming: map[string]bool{}, released: map[string]uint64{}, visits: map[string]visit{}, seen: map[string]sight{}, changed: make(chan struct{}),
+		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, claiming: map[string]bool{}, released: map[string]uint64{}, visits: map[string]visit{}, seen: map[string]sight{}, gens: map[int]int{}, changed: make(chan struct{}),
 	}
 }
 
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -104,7 +104,7 @@
 
 func slot(t *testing.T, n *node, name string, seen uint64) uint64 {
 	t.Helper()
-	rev, err := n.member.Take(context.Background(), statekv.SlotPrefix+name, seen, statekv.Holder{}, n.member.Holder)
+	rev, err := n.member.Take(context.Background(), statekv.Role{Key: statekv.SlotPrefix + name, Seen: seen, Value: n.member.Holder})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -132,10 +132,13 @@
 	return f.entries[machine]
 }
 
-// SettledSince reports whether everything that may run on a machine, according
-// to its key, is in the latest entry, and its owner refuses commits that were
-// sent under epochs before the given one. If not, it says why.
-func (f *Feed) SettledSince(kv statekv.KV, epoch uint64) (ok bool, why string) {
+// Gone is the revision up to which a machine that is no more counts as confirmed.
+const Gone = ^uint64(0)
+
+// ConfirmedUpTo returns the epoch up to which a machine is confirmed, or 0 and why
+// it is not: everything that may run on it, according to its key, is in the latest
+// entry, and its owner refuses commits that were sent under earlier epochs.
+func (f *Feed) ConfirmedUpTo(kv statekv.KV) (epoch uint64, why string) {
 	holder, rev := Owner(f.mirror, kv)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -143,19 +146,17 @@
 	a := f.acks[holder.Host]
 	switch {
 	case holder.Host == "":
-		return false, "it has no owner"
+		return 0, "it has no owner"
 	case !known:
-		return false, "its owner " + holder.Host + " has not shown it"
+		return 0, "its owner " + holder.Host + " has not shown it"
 	case e.Rev != rev:
-		return false, fmt.Sprintf("the entry by %s is of revision %d, ownership by %s of %d", e.Host, e.Rev, holder.Host, rev)
+		return 0, fmt.Sprintf("the entry by %s is of revision %d, ownership by %s of %d", e.Host, e.Rev, holder.Host, rev)
 	case a.instance != holder.Instance:
-		return false, "its owner " + holder.Host + " has begun a new life"
-	case a.rev < epoch:
-		return false, "its owner " + holder.Host + " has not caught up"
+		return 0, "its owner " + holder.Host + " has begun a new life"
 	case !e.Settled:
-		return false, "it has not answered its owner " + holder.Host
+		return 0, "it has not answered its owner " + holder.Host
 	}
-	return true, ""
+	return a.rev, "its owner " + holder.Host + " has not caught up"
 }
 
 // PeersServed counts the other agents that reported lately that the state
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"log/slog"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -109,6 +110,12 @@
 	}
 }
 
+// holding is a shard that this life holds.
+type holding struct {
+	rev   uint64 // of the shard's key
+	index int
+}
+
 // holdShards takes shards whose owner's life is over or whose workers cannot
 // reach it, and new ones if this controller has none, and takes up the machines
 // in them.
@@ -123,78 +130,131 @@
 	if len(wanted) == 0 {
 		wanted = a.evenOut(ctx, shards, machines, hosts, now)
 	}
-	held, latest := map[string]uint64{}, uint64(0)
+	held := a.takeShards(ctx, shards, wanted)
+	home, latest, err := a.chooseHome(ctx, held)
+	if err != nil {
+		// If they were made after all, the mirror will show them.
+		slog.Debug("making shards", "err", err)
+		return
+	}
+	// What an earlier owner claimed last is in the mirror by then.
+	wctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	if a.mirror.Wait(wctx, latest) != nil {
+		return
+	}
+	a.mu.Lock()
+	a.home, a.shards = home, map[string]uint64{}
+	for id, h := range held {
+		a.shards[id] = h.rev
+	}
+	a.mu.Unlock()
+	a.sortOut(hosts, a.dropEmpty(ctx, held, home))
+}
+
+// takeShards takes the shards that fall to this controller, and those wanted from
+// living owners, and returns all that it holds then.
+func (a *Agent) takeShards(ctx context.Context, shards []statekv.KV, wanted map[string]string) map[string]holding {
+	heirs := a.member.Heirs(a.settings.Hosts())
+	held := map[string]holding{}
+	keys := map[string]*ShardKey{}
+	var roles []statekv.Role
 	for _, kv := range shards {
 		key := parsed[ShardKey](kv)
 		if key == nil {
 			continue
 		}
-		rev := kv.Rev
-		if key.Holder != a.member.Holder {
-			from := key.Holder
-			if why := wanted[kv.Key]; why != "" {
-				slog.Info("taking a shard from a living owner", "shard", kv.Key[len(statekv.ShardPrefix):], "from", key.Host, "why", why)
-				from = statekv.Holder{}
-			} else if a.member.Alive(key.Holder) || heir(key, hosts) != a.member.Host {
-				continue
-			}
-			var err error
-			tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-			rev, err = a.member.Take(tctx, kv.Key, kv.Rev, from, ShardKey{Holder: a.member.Holder, Index: key.Index})
-			cancel()
-			if err != nil {
-				slog.Debug("taking a shard", "key", kv.Key, "err", err)
-				continue
-			}
-			slog.Info("shard taken", "shard", kv.Key[len(statekv.ShardPrefix):], "from", key.Host, "rev", rev)
-		}
-		held[kv.Key[len(statekv.ShardPrefix):]] = rev
-		latest = max(latest, rev)
-	}
-	home := a.homeShards()
-	if !holdsAll(held, home) {
-		home = a.replaceLost(home)
-		rev, err := a.makeShards(ctx, home, held)
-		if err != nil {
-			// If they were made after all, the mirror will show them.
-			slog.Debug("making shards", "err", err)
-			return
+		if key.Holder == a.member.Holder {
+			held[kv.Key[len(statekv.ShardPrefix):]] = holding{kv.Rev, key.Index}
+			continue
 		}
-		latest = max(latest, rev)
-		for _, id := range home {
-			if held[id] == 0 {
-				held[id] = rev
-			}
+		from := key.Holder
+		if wanted[kv.Key] != "" {
+			from = statekv.Holder{}
+		} else if a.member.Alive(key.Holder) || heir(key, heirs) != a.member.Host {
+			continue
 		}
+		keys[kv.Key] = key
+		roles = append(roles, statekv.Role{Key: kv.Key, Seen: kv.Rev, From: from, Value: ShardKey{Holder: a.member.Holder, Index: key.Index}})
 	}
-	// What an earlier owner claimed last is in the mirror by then.
-	wctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	if len(roles) == 0 {
+		return held
+	}
+	tctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
-	if a.mirror.Wait(wctx, latest) != nil {
-		return
+	taken, err := a.member.TakeAll(tctx, roles, a.settings.State.TxnOps)
+	if err != nil {
+		slog.Debug("taking shards", "err", err)
 	}
-	a.mu.Lock()
-	a.shards, a.home = held, home
-	a.mu.Unlock()
-	a.sortOut(hosts, a.dropEmpty(ctx, held))
+	for key, rev := range taken {
+		id, was := key[len(statekv.ShardPrefix):], keys[key]
+		held[id] = holding{rev, was.Index}
+		slog.Info("shard taken", "shard", id, "from", was.Host, "rev", rev, "why", wanted[key])
+	}
+	return held
 }
 
-func holdsAll(held map[string]uint64, ids []string) bool {
-	return !slices.ContainsFunc(ids, func(id string) bool { return held[id] == 0 })
+// chooseHome picks, for each place in the list of home shards, a shard held that
+// takes new machines: the one that did, else one of the same place that was taken
+// over, so that there are no more shards after many failures than before. Where
+// there is none it makes one. It returns the latest revision among all held.
+func (a *Agent) chooseHome(ctx context.Context, held map[string]holding) (home []string, latest uint64, err error) {
+	places := ownShards * max(1, len(a.settings.Zones))
+	a.mu.Lock()
+	home = slices.Clone(a.home)
+	a.mu.Unlock()
+	if home == nil {
+		home = make([]string, places)
+	}
+	ids := slices.Sorted(maps.Keys(held))
+	var when []statekv.Cond
+	var then []statekv.Op
+	var made []int
+	for k := range home {
+		if _, ok := held[home[k]]; ok {
+			continue
+		}
+		at := slices.IndexFunc(ids, func(id string) bool { return held[id].index%places == k })
+		if at >= 0 {
+			home[k] = ids[at]
+			continue
+		}
+		home[k] = a.newShard(k)
+		made = append(made, k)
+		// Once only: a copy applied late must not raise the revision of a
+		// shard that has machines by then.
+		when = append(when, statekv.Cond{Key: statekv.ShardPrefix + home[k]})
+		then = append(then, statekv.Op{Set: statekv.ShardPrefix + home[k], Value: ShardKey{Holder: a.member.Holder, Index: k}})
+	}
+	if len(made) > 0 {
+		tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		rev, err := a.member.Write(tctx, when, then)
+		if err != nil {
+			return nil, 0, err
+		}
+		for _, k := range made {
+			held[home[k]] = holding{rev, k}
+		}
+	}
+	for _, h := range held {
+		latest = max(latest, h.rev)
+	}
+	return home, latest, nil
 }
 
-// homeShards names the shards that this life made, some for each zone.
-func (a *Agent) homeShards() []string {
+// newShard names a shard for place k that this life has not made yet: one that
+// was taken from it keeps its name.
+func (a *Agent) newShard(k int) string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.gens == nil {
-		a.gens = make([]int, ownShards*max(1, len(a.settings.Zones)))
-	}
-	var ids []string
-	for k, gen := range a.gens {
-		ids = append(ids, fmt.Sprintf("%s.%d.%d.%d", a.member.Host, a.member.Instance, gen, k))
+	for {
+		id := fmt.Sprintf("%s.%d.%d.%d", a.member.Host, a.member.Instance, a.gens[k], k)
+		if _, exists := a.mirror.Get(statekv.ShardPrefix + id); !exists {
+			return id
+		}
+		a.gens[k]++
 	}
-	return ids
 }
 
 func holderOf(shard statekv.KV) statekv.Holder {
@@ -204,18 +264,6 @@
 	return statekv.Holder{}
 }
 
-// replaceLost gives shards that were taken from this life new names.
-func (a *Agent) replaceLost(home []string) []string {
-	for k, id := range home {
-		if kv, ok := a.mirror.Get(statekv.ShardPrefix + id); ok && holderOf(kv) != a.member.Holder {
-			a.mu.Lock()
-			a.gens[k]++
-			a.mu.Unlock()
-		}
-	}
-	return a.homeShards()
-}
-
 // homeFor is the place in the list of home shards for a machine.
 func (a *Agent) homeFor(name, zone string) int {
 	z := max(0, slices.Index(a.settings.Zones, zone))
@@ -228,28 +276,11 @@
 	return a.shards
 }
 
-func (a *Agent) makeShards(ctx context.Context, home []string, held map[string]uint64) (uint64, error) {
-	var when []statekv.Cond
-	var then []statekv.Op
-	for k, id := range home {
-		if held[id] != 0 {
-			continue
-		}
-		// Once only: a copy applied late must not raise the revision of a
-		// shard that has machines by then.
-		when = append(when, statekv.Cond{Key: statekv.ShardPrefix + id})
-		then = append(then, statekv.Op{Set: statekv.ShardPrefix + id, Value: ShardKey{Holder: a.member.Holder, Index: k}})
-	}
-	tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-	defer cancel()
-	return a.member.Write(tctx, when, then)
-}
-
-// dropEmpty returns the keys of all machines, and removes the key of a shard
-// taken over earlier in which there are none any more.
-func (a *Agent) dropEmpty(ctx context.Context, held map[string]uint64) []statekv.KV {
+// dropEmpty returns the keys of all machines, and removes the keys of shards
+// in which there are none any more and which take no new ones.
+func (a *Agent) dropEmpty(ctx context.Context, held map[string]holding, home []string) []statekv.KV {
 	keys := a.mirror.Dir(statekv.MachinePrefix)
-	if len(held) <= len(a.homeShards()) {
+	if len(held) <= len(home) {
 		return keys
 	}
 	used := map[string]bool{}
@@ -258,19 +289,27 @@
 			used[key.Shard] = true
 		}
 	}
-	for id, rev := range held {
-		if used[id] || slices.Contains(a.home, id) || !a.store.Room(statekv.Chores, 1) {
-			continue
+	var when []statekv.Cond
+	var then []statekv.Op
+	for id, h := range held {
+		if !used[id] && !slices.Contains(home, id) && len(then) < mostDropped {
+			when = append(when, statekv.Cond{Key: statekv.ShardPrefix + id, Rev: h.rev})
+			then = append(then, statekv.Op{Delete: statekv.ShardPrefix + id})
 		}
-		tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-		_, err := a.member.Write(tctx, []statekv.Cond{{Key: statekv.ShardPrefix + id, Rev: rev}}, []statekv.Op{{Delete: statekv.ShardPrefix + id}})
-		cancel()
-		slog.Debug("empty shard removed", "shard", id, "err", err)
-		break
 	}
+	if len(then) == 0 || !a.store.Room(statekv.Chores, len(then)) {
+		return keys
+	}
+	tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	_, err := a.member.Write(tctx, when, then)
+	slog.Debug("empty shards removed", "shards", len(then), "err", err)
 	return keys
 }
 
+// mostDropped bounds the empty shards that are removed with one transaction.
+const mostDropped = 8
+
 // sortOut takes up the machines that are ours by their keys, gives up those that
 // are not any more, and claims those whose shard has been lost.
 func (a *Agent) sortOut(hosts []string, keys []statekv.KV) {
--- a/config/config.go
+++ b/config/config.go
@@ -213,6 +213,15 @@
 	return s, errors.Join(errs...)
 }
 
+// Hosts lists all controllers there are, this one among them.
+func (s *Settings) Hosts() []string {
+	hosts := []string{s.Host}
+	for _, p := range s.Peers {
+		hosts = append(hosts, p.Host)
+	}
+	return hosts
+}
+
 // HoldTime is how long an owner that cannot renew its state lease goes on
 // answering its workers. Whatever it keeps alive must still be gone within
 // the cancellation time once the worker's own lease has run out as well. It is
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -117,22 +117,20 @@
 
 	server := rpc.NewServer()
 	addresses := map[string]string{}
-	hosts := []string{c.settings.Host}
 	for _, p := range c.settings.Peers {
 		addresses[p.Host] = p.Address
-		hosts = append(hosts, p.Host)
 	}
 	network := peer.New(c.settings.Host, addresses, server)
 	defer network.Close()
 	ag = agent.New(c.settings, c.store, mirror, member, c.workers, c.catalogue.Types)
-	pl = placer.New(c.settings, c.policy, c.store, mirror, member, network)
+	pl = placer.New(c.settings, c.policy, c.store, mirror, member, network, c.catalogue.Types)
 	st = steward.New(c.settings, c.policy, mirror, member, network, c.cloud, c.catalogue)
 	for name, service := range map[string]any{"Agent": agent.NewService(ag), "Placer": placer.NewService(pl), "Steward": steward.NewService(st)} {
 		if err := server.RegisterName(name, service); err != nil {
 			return fmt.Errorf("registering %s: %w", name, err)
 		}
 	}
-	feed := agent.NewFeed(network, mirror, hosts, func() uint64 { return max(pl.Epoch(), st.Epoch()) }, func(entries []agent.Entry) {
+	feed := agent.NewFeed(network, mirror, c.settings.Hosts(), func() uint64 { return max(pl.Epoch(), st.Epoch()) }, func(entries []agent.Entry) {
 		pl.OnEntries(entries)
 		st.OnEntries(entries)
 	})
--- a/fakes/state.go
+++ b/fakes/state.go
@@ -85,12 +85,11 @@
 		return statekv.Page{}, statekv.ErrRefused
 	}
 	p := statekv.Page{Rev: s.rev}
-	for k, kv := range s.keys {
-		if strings.HasPrefix(k, prefix) && k > after {
+	for _, kv := range s.dir(prefix) {
+		if kv.Key > after {
 			p.Items = append(p.Items, kv)
 		}
 	}
-	sort.Slice(p.Items, func(i, j int) bool { return p.Items[i].Key < p.Items[j].Key })
 	if few := max(2, len(s.keys)/5); len(p.Items) > few {
 		p.Items, p.More = p.Items[:few], true
 	}
@@ -203,5 +202,23 @@
 	}
 }
 
+// Dir returns all keys under a prefix, in order.
+func (s *State) Dir(prefix string) []statekv.KV {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dir(prefix)
+}
+
+func (s *State) dir(prefix string) []statekv.KV {
+	var out []statekv.KV
+	for k, kv := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, kv)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out
+}
+
 // Room says that changes may always be made.
 func (s *State) Room(statekv.Kind, int) bool { return true }
--- a/placer/place.go
+++ b/placer/place.go
@@ -94,13 +94,6 @@
 	}
 }
 
-// mayStart reports whether tasks of the job that are not located can be
-// started: not before all that an earlier placer may have left has shown up.
-func (p *Placer) mayStart(j *jobState) bool {
-	s := p.slots[j.slot]
-	return s != nil && (j.fresh || s.settled)
-}
-
 // binding is one task on its way to a machine.
 type binding struct {
 	ref        agent.TaskRef
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"robinstack/agent"
+	"robinstack/cloud"
 	"robinstack/config"
 	"robinstack/job"
 	"robinstack/policy"
@@ -84,13 +85,6 @@
 	return n
 }
 
-type slotState struct {
-	epoch   uint64
-	cleared map[string]bool
-	settled bool
-	toldAt  time.Time // when the log last said what it waits for
-}
-
 // Placer holds the jobs of its slots. Its mutex guards all its state and is
 // never held over I/O.
 type Placer struct {
@@ -100,6 +94,7 @@
 	mirror   *statekv.Mirror
 	member   *statekv.Member
 	call     agent.Caller
+	types    func() map[string]cloud.MachineType
 	feed     *agent.Feed
 	ctx      context.Context
 
@@ -131,8 +126,8 @@
 }
 
 // New returns a placer without slots.
-func New(settings *config.Settings, pol *policy.Policy, store statekv.Store, mirror *statekv.Mirror, member *statekv.Member, call agent.Caller) *Placer {
-	return &Placer{settings: settings, policy: pol, store: store, mirror: mirror, member: member, call: call,
+func New(settings *config.Settings, pol *policy.Policy, store statekv.Store, mirror *statekv.Mirror, member *statekv.Member, call agent.Caller, types func() map[string]cloud.MachineType) *Placer {
+	return &Placer{settings: settings, policy: pol, store: store, mirror: mirror, member: member, call: call, types: types,
 		jobs: map[string]*jobState{}, slots: map[string]*slotState{}, on: map[string]map[agent.TaskRef]bool{},
 		stops: map[agent.TaskRef]bool{}, others: map[string]bool{},
 		fullAt: map[shapeKey]time.Time{}, gone: map[string]deleted{}, kick: make(chan struct{}, 1)}
@@ -173,6 +168,7 @@
 	every(200*time.Millisecond, p.sendStops)
 	every(time.Second, p.sendDemand)
 	every(2*time.Second, func(context.Context) { p.dropGone() })
+	every(5*time.Second, p.dropSlots)
 	tick := time.NewTicker(150 * time.Millisecond)
 	defer tick.Stop()
 	for ctx.Err() == nil {
@@ -198,92 +194,6 @@
 	}
 }
 
-// holdSlots takes slots whose placer's life is over, and a new one if this
-// controller has none; then it checks whether those taken have settled.
-func (p *Placer) holdSlots(ctx context.Context) {
-	if !p.member.Certain() {
-		return
-	}
-	p.mu.Lock()
-	none := p.home == ""
-	for id, s := range p.slots {
-		var h statekv.Holder
-		kv, ok := p.mirror.Get(statekv.SlotPrefix + id)
-		if ok && kv.Rev > s.epoch && json.Unmarshal(kv.Value, &h) == nil && h != p.member.Holder {
-			p.member.Replaced(fmt.Errorf("slot %s was taken by %s", id, h.Host))
-		}
-	}
-	p.mu.Unlock()
-	if none { // first, for users wait for it
-		p.takeSlot(ctx, fmt.Sprintf("%s.%d", p.member.Host, p.member.Instance), 0, statekv.Holder{})
-	}
-	for _, kv := range p.mirror.Dir(statekv.SlotPrefix) {
-		id := strings.TrimPrefix(kv.Key, statekv.SlotPrefix)
-		var h statekv.Holder
-		p.mu.Lock()
-		held := p.slots[id] != nil
-		p.mu.Unlock()
-		if held || json.Unmarshal(kv.Value, &h) == nil && h != p.member.Holder && p.member.Alive(h) {
-			continue
-		}
-		p.takeSlot(ctx, id, kv.Rev, h)
-	}
-	p.settleSlots(ctx)
-}
-
-func (p *Placer) takeSlot(ctx context.Context, id string, seen uint64, from statekv.Holder) {
-	tctx, cancel := context.WithTimeout(ctx, 3*time.Second)
-	defer cancel()
-	epoch, err := p.member.Take(tctx, statekv.SlotPrefix+id, seen, from, p.member.Holder)
-	if err != nil {
-		slog.Debug("taking a slot", "slot", id, "err", err)
-		return
-	}
-	// From here on the mirror has every record that the earlier placer wrote.
-	if p.mirror.Wait(ctx, epoch) != nil {
-		return
-	}
-	if seen != 0 {
-		for err = p.loadSlot(ctx, id); err != nil && ctx.Err() == nil; err = p.loadSlot(ctx, id) {
-			slog.Warn("loading a slot's jobs", "slot", id, "err", err)
-			select {
-			case <-ctx.Done():
-			case <-time.After(300 * time.Millisecond):
-			}
-		}
-	}
-	p.mu.Lock()
-	p.slots[id] = &slotState{epoch: epoch, cleared: map[string]bool{}, settled: seen == 0}
-	if p.home == "" {
-		p.home = id
-	}
-	n := len(p.jobs)
-	p.mu.Unlock()
-	slog.Info("slot taken", "slot", id, "epoch", epoch, "jobs", n)
-	// Tasks that the feed has shown already are located now.
-	if p.feed != nil {
-		p.OnEntries(p.feed.Entries())
-	}
-}
-
-// loadSlot takes up the unfinished jobs of a slot that was another's.
-func (p *Placer) loadSlot(ctx context.Context, id string) error {
-	for _, kv := range p.mirror.Dir(job.OpenPrefix) {
-		rec, err := job.ParseRecord(kv.Value)
-		if err != nil {
-			slog.Error("job record", "key", kv.Key, "err", err)
-			continue
-		}
-		if rec.Slot != id {
-			continue
-		}
-		if err := p.load(ctx, rec, kv.Rev, false); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // load takes up a job from its record.
 func (p *Placer) load(ctx context.Context, rec *job.Record, rev uint64, fresh bool) error {
 	j := &jobState{spec: &rec.Spec, slot: rec.Slot, rev: rev, submitted: rec.SubmittedAt(), tasks: make([]taskState, rec.Spec.Tasks),
@@ -320,67 +230,6 @@
 	return nil
 }
 
-// settleSlots checks which machines have shown all that earlier placers may
-// have left on them; a slot settles when every machine has.
-func (p *Placer) settleSlots(ctx context.Context) {
-	p.mu.Lock()
-	open := map[string]uint64{}
-	for id, s := range p.slots {
-		if !s.settled {
-			open[id] = s.epoch
-		}
-	}
-	p.mu.Unlock()
-	if len(open) == 0 || p.feed == nil {
-		return
-	}
-	keys := p.mirror.Dir(statekv.MachinePrefix)
-	for id, epoch := range open {
-		left, one, reason := 0, "", ""
-		for _, kv := range keys {
-			name := strings.TrimPrefix(kv.Key, statekv.MachinePrefix)
-			p.mu.Lock()
-			s := p.slots[id]
-			done := s == nil || s.cleared[name]
-			p.mu.Unlock()
-			if done {
-				continue
-			}
-			if ok, why := p.feed.SettledSince(kv, epoch); !ok {
-				left++
-				one, reason = name, why
-				continue
-			}
-			p.mu.Lock()
-			s.cleared[name] = true
-			p.mu.Unlock()
-		}
-		if left > 0 {
-			p.mu.Lock()
-			if s := p.slots[id]; s != nil && time.Since(s.toldAt) > 5*time.Second {
-				s.toldAt = time.Now()
-				slog.Info("slot waits for machines to be checked", "slot", id, "machines", left, "one", one, "why", reason)
-			}
-			p.mu.Unlock()
-			continue
-		}
-		p.OnEntries(p.feed.Entries())
-		p.mu.Lock()
-		if s := p.slots[id]; s != nil {
-			s.settled, s.cleared = true, nil
-		}
-		p.mu.Unlock()
-		slog.Info("slot settled", "slot", id)
-		cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-		_, err := p.permits(cctx, steward.PermitRequest{Slot: id, Epoch: epoch, Settled: true})
-		cancel()
-		if err != nil {
-			slog.Debug("telling the steward of a settled slot", "err", err)
-		}
-		p.wake()
-	}
-}
-
 // Home returns the slot for new jobs and its epoch.
 func (p *Placer) Home() (slot string, epoch uint64, ok bool) {
 	p.mu.Lock()
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex
 	nodes   map[string]*node
 	boxes   []*fakes.Worker
+	homes   map[*fakes.Worker]string // the node that each reports to
 }
 
 type node struct {
@@ -79,9 +80,16 @@
 	return fmt.Errorf("no method %s", method)
 }
 
+func other(host string) string {
+	if host == "host-0" {
+		return "host-1"
+	}
+	return "host-0"
+}
+
 func (w *world) start(host string) *node {
 	w.t.Helper()
-	settings := &config.Settings{Host: host, Teams: map[string]config.Team{"t": {Name: "t"}}, Zones: []string{"a", "b"},
+	settings := &config.Settings{Host: host, Peers: []config.Peer{{Host: other(host)}}, Teams: map[string]config.Team{"t": {Name: "t"}}, Zones: []string{"a", "b"},
 		Workers: config.Workers{Report: 3 * time.Second, Lease: 30 * time.Second, GangWait: 45 * time.Second, CancelGone: 60 * time.Second},
 		State:   config.State{RPS: 100, WriteRPS: 50, ValueBytes: 8192, TxnOps: 24}}
 	ctx, stop := context.WithCancel(w.ctx)
@@ -101,7 +109,7 @@
 	types := map[string]cloud.MachineType{"box": {Name: "box", CPUs: 8, GPUs: 2, MemoryGB: 64}}
 	n.agent = agent.New(settings, w.state, mirror, n.member, w.workers, func() map[string]cloud.MachineType { return types })
 	n.svc = agent.NewService(n.agent)
-	n.placer = placer.New(settings, policy.Default(), w.state, mirror, n.member, w)
+	n.placer = placer.New(settings, policy.Default(), w.state, mirror, n.member, w, func() map[string]cloud.MachineType { return types })
 	feed := agent.NewFeed(w, mirror, []string{"host-0", "host-1"}, n.placer.Epoch, n.placer.OnEntries)
 	w.mu.Lock()
 	w.nodes[host] = n
@@ -130,17 +138,23 @@
 func (w *world) run(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second) {
 		for _, box := range w.boxes {
-			for _, host := range []string{"host-0", "host-1"} {
+			// A worker stays with the node that answers and goes where it is sent.
+			host := w.homes[box]
+			for range 3 {
 				n := w.node(host)
 				if n == nil {
+					host = other(host)
 					continue
 				}
 				r := w.workers.Next(box)
-				if reply := n.agent.Report(w.ctx, &r); reply.Owner {
+				reply := n.agent.Report(w.ctx, &r)
+				if reply.Owner {
 					w.workers.Answer(box, reply.Answer)
 					break
 				}
+				host = other(host)
 			}
+			w.homes[box] = host
 		}
 	}
 }
@@ -213,7 +227,7 @@
 func story(t *testing.T, f func(w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		w := &world{t: t, ctx: ctx, state: fakes.NewState(), workers: fakes.NewWorkers(), nodes: map[string]*node{}}
+		w := &world{t: t, ctx: ctx, state: fakes.NewState(), workers: fakes.NewWorkers(), nodes: map[string]*node{}, homes: map[*fakes.Worker]string{}}
 		defer func() { cancel(); time.Sleep(10 * time.Second); synctest.Wait() }()
 		w.boxes = []*fakes.Worker{w.workers.Add("m1", "box", "a"), w.workers.Add("m2", "box", "b")}
 		f(w)
--- a/statekv/member.go
+++ b/statekv/member.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -31,6 +32,15 @@
 	Instance uint64 `json:"instance"`
 }
 
+// Role is a key that names its holder, as it was seen when its holder's life
+// was found to be over.
+type Role struct {
+	Key   string
+	Seen  uint64 // its revision
+	From  Holder // whose life is over; zero: taken whether it lives or not
+	Value any    // names the new holder
+}
+
 // Member is one life of this controller: a key attached to a state lease.
 // Every write carries the condition that the key still has its revision, so
 // nothing this life sent can be applied after its end.
@@ -41,6 +51,7 @@
 	ttl    time.Duration
 	lease  uint64
 
+	began    time.Time
 	replaced chan error // why another has taken over although the lease is held
 
 	mu      sync.Mutex
@@ -60,7 +71,7 @@
 		_ = store.Revoke(ctx, lease)
 		return nil, fmt.Errorf("registering: %w", err)
 	}
-	return &Member{Holder: Holder{Host: host, Instance: rev}, store: store, mirror: mirror, ttl: ttl, lease: lease, replaced: make(chan error, 1), renewed: sent}, nil
+	return &Member{Holder: Holder{Host: host, Instance: rev}, store: store, mirror: mirror, ttl: ttl, lease: lease, began: time.Now(), replaced: make(chan error, 1), renewed: sent}, nil
 }
 
 // Keep renews the lease until ctx ends or the lease is lost.
@@ -131,26 +142,46 @@
 	return hosts
 }
 
+// gathering is how long a new life leaves what is not its own part to controllers
+// that may just be coming back too.
+const gathering = 2 * time.Second
+
+// Heirs lists the controllers among which roles whose holder's life is over are
+// divided: those that live. A life that has just begun counts all there are,
+// given as hosts, for when all have crashed they come back within a second of each
+// other, and the first would take everything.
+func (m *Member) Heirs(hosts []string) []string {
+	if time.Since(m.began) > gathering {
+		return m.AliveHosts()
+	}
+	return slices.Sorted(slices.Values(hosts))
+}
+
 // Write applies ops under the member's condition and the given ones.
 func (m *Member) Write(ctx context.Context, when []Cond, then []Op) (uint64, error) {
 	return m.store.Txn(ctx, append([]Cond{m.Cond()}, when...), then)
 }
 
-// Take writes a role's key if it still has the revision seen, and returns the
-// new revision, which fences off earlier holders. from is the holder whose life
-// is over: the state service checks that too, whatever the mirror shows. If an
-// answer is lost, the next try meets its own write and recognises it.
-func (m *Member) Take(ctx context.Context, key string, seen uint64, from Holder, value any) (uint64, error) {
-	when := []Cond{{Key: key, Rev: seen}}
-	if from.Host != "" && from.Host != m.Host {
-		later, _ := m.mirror.Get(NodePrefix + from.Host)
-		when = append(when, Cond{Key: NodePrefix + from.Host, Rev: later.Rev})
+// conds is what has to hold for r to be taken: nobody was faster, and the state
+// service too has the earlier holder's life over, whatever the mirror shows.
+func (m *Member) conds(r Role) []Cond {
+	when := []Cond{{Key: r.Key, Rev: r.Seen}}
+	if r.From.Host != "" && r.From.Host != m.Host {
+		later, _ := m.mirror.Get(NodePrefix + r.From.Host)
+		when = append(when, Cond{Key: NodePrefix + r.From.Host, Rev: later.Rev})
 	}
-	rev, err := m.Write(ctx, when, []Op{{Set: key, Value: value}})
+	return when
+}
+
+// Take writes a role's key if it still has the revision seen, and returns the
+// new revision, which fences off earlier holders. If an answer is lost, the next
+// try meets its own write and recognises it.
+func (m *Member) Take(ctx context.Context, r Role) (uint64, error) {
+	rev, err := m.Write(ctx, m.conds(r), []Op{{Set: r.Key, Value: r.Value}})
 	if !IsConflict(err) {
 		return rev, err
 	}
-	kv, readErr := m.store.Get(ctx, key)
+	kv, readErr := m.store.Get(ctx, r.Key)
 	if readErr != nil {
 		return 0, err
 	}
@@ -160,3 +191,48 @@
 	}
 	return 0, err
 }
+
+// TakeAll takes roles like Take, up to most with one transaction, and returns the
+// revisions of those taken by their keys. After all controllers have crashed there
+// are dozens to take, and several controllers try: one by one, with a conflict for
+// each that another was faster with, that took longer than everything else until
+// the service worked again. Roles lost to others are left out; so are those whose
+// transaction had no answer, which the mirror will show if they were taken.
+func (m *Member) TakeAll(ctx context.Context, roles []Role, most int) (map[string]uint64, error) {
+	taken := map[string]uint64{}
+	for len(roles) > 0 {
+		group := roles[:min(most, len(roles))]
+		roles = roles[len(group):]
+		for len(group) > 0 {
+			var when []Cond
+			var then []Op
+			for _, r := range group {
+				for _, c := range m.conds(r) {
+					if !slices.Contains(when, c) {
+						when = append(when, c)
+					}
+				}
+				then = append(then, Op{Set: r.Key, Value: r.Value})
+			}
+			rev, err := m.Write(ctx, when, then)
+			if err == nil {
+				for _, r := range group {
+					taken[r.Key] = rev
+				}
+				break
+			}
+			var conflict *Conflict
+			if !errors.As(err, &conflict) {
+				return taken, fmt.Errorf("taking %d roles: %w", len(group), err)
+			}
+			left := slices.DeleteFunc(slices.Clone(group), func(r Role) bool {
+				return slices.Contains(conflict.Failed, r.Key) || r.From.Host != "" && r.From.Host != m.Host && slices.Contains(conflict.Failed, NodePrefix+r.From.Host)
+			})
+			if len(left) == len(group) {
+				return taken, fmt.Errorf("taking %d roles: %w", len(group), err) // this life is over
+			}
+			group = left
+		}
+	}
+	return taken, nil
+}
--- a/statekv/mirror_test.go
+++ b/statekv/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,11 +76,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		rev, err := holder.Take(ctx, statekv.StewardKey, 0, statekv.Holder{}, holder.Holder)
+		rev, err := holder.Take(ctx, statekv.Role{Key: statekv.StewardKey, Value: holder.Holder})
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := taker.Take(ctx, statekv.StewardKey, rev, holder.Holder, taker.Holder); !statekv.IsConflict(err) {
+		if _, err := taker.Take(ctx, statekv.Role{Key: statekv.StewardKey, Seen: rev, From: holder.Holder, Value: taker.Holder}); !statekv.IsConflict(err) {
 			t.Fatalf("taking the role of a living holder: %v", err)
 		}
 		ended := make(chan error, 1)
@@ -93,3 +94,39 @@
 		}
 	})
 }
+
+// After all controllers have crashed several of them try to take the same roles.
+// One that is lost to another, or whose holder lives after all, must not keep the
+// rest of its transaction from being taken, nor cost a request of its own.
+func TestRolesAreTakenTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { cancel(); synctest.Wait() }()
+		state := fakes.NewState()
+		mirror := statekv.NewMirror(state, []string{statekv.FleetPrefix}, statekv.RootPrefix, time.Second, 0, func([]statekv.Event) {})
+		join := func(host string) *statekv.Member {
+			m, err := statekv.Join(ctx, state, mirror, host, time.Hour)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return m
+		}
+		other, taker := join("host-1"), join("host-0")
+		var roles []statekv.Role
+		for i := range 60 {
+			roles = append(roles, statekv.Role{Key: fmt.Sprintf("%s%d", statekv.ShardPrefix, i), From: statekv.Holder{Host: "host-9", Instance: 1}, Value: taker.Holder})
+		}
+		roles[7].From = other.Holder // lives, which the mirror does not show
+		if _, err := other.Take(ctx, statekv.Role{Key: roles[30].Key, Value: other.Holder}); err != nil {
+			t.Fatal(err)
+		}
+		before := state.Changes()
+		taken, err := taker.TakeAll(ctx, roles, 24)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(taken) != 58 || taken[roles[7].Key] != 0 || taken[roles[30].Key] != 0 || state.Changes()-before != 58 {
+			t.Fatalf("took %d of 60 with %d changes", len(taken), state.Changes()-before)
+		}
+	})
+}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -97,7 +97,7 @@
 		}
 		tctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 		defer cancel()
-		rev, err := s.member.Take(tctx, statekv.StewardKey, kv.Rev, h, s.member.Holder)
+		rev, err := s.member.Take(tctx, statekv.Role{Key: statekv.StewardKey, Seen: kv.Rev, From: h, Value: s.member.Holder})
 		if err != nil || s.mirror.Wait(tctx, rev) != nil {
 			return
 		}
@@ -123,9 +123,9 @@
 	left := 0
 	for _, kv := range s.mirror.Dir(statekv.MachinePrefix) {
 		name := strings.TrimPrefix(kv.Key, statekv.MachinePrefix)
-		ok, _ := s.feed.SettledSince(kv, epoch)
+		upTo, _ := s.feed.ConfirmedUpTo(kv)
 		s.mu.Lock()
-		if ok {
+		if upTo >= epoch {
 			s.cleared[name] = true
 		}
 		if !s.cleared[name] {
