Silent machines are replaced only once that is quicker than waiting for them

Change: a machine that is silent beyond its lease is given up after twice its boot time more. Its tasks run elsewhere from the lease on, as before; dead ones are found out by the list.

--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -490,12 +490,21 @@
 		// a machine created later, or has shown this one, or is younger than
 		// lists may lag, would show it if it were still there.
 		return "no longer listed"
-	case now.Sub(f.silent[e.Machine]) > s.settings.GoneAfter():
-		return "silent for longer than its lease"
+	case now.Sub(f.silent[e.Machine]) > s.settings.GoneAfter()+replacing(s.catalogue.Types()[e.Type]):
+		return "silent for longer than replacing it takes"
 	}
 	return ""
 }
 
+// replacing is how long it takes, at the upper end of what is usual, until a
+// machine rented in place of a silent one serves: boots take up to half as long
+// again as their type's, and then images are fetched. A machine that is cut off or
+// hangs has lost its tasks when its lease is over, and they run elsewhere; but it
+// comes back with its images. Waiting for it as long as replacing it would take
+// costs at most twice what would have been best. One that died is found out by the
+// cloud's list long before.
+func replacing(t cloud.MachineType) time.Duration { return 2 * t.Boot() }
+
 func (s *Steward) rent(ctx context.Context, r cloud.Rental) {
 	now := time.Now()
 	cctx, cancel := context.WithTimeout(ctx, 5*time.Second)
