Ended members of a gang are forgotten whenever they are reported

Cause: members reported while the gang's end was being written were forgotten by nobody. Change: all ended tasks of a job are forgotten once its end is recorded; an ended task that stays for 20 s is looked up, for the word to forget it may go to an owner that ends.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -229,6 +229,11 @@
 // answered within milliseconds, and one that is lost is sent again by then.
 const unsettledQuiet = 3 * time.Second
 
+// longEnded is how long an ended task may stay on its machine before it is looked
+// up whether its job is over. Recording what ended takes a few seconds at most
+// while the state service answers.
+const longEnded = 20 * time.Second
+
 // inspect does what time brings: reservations expire, silent machines are
 // noticed, and tasks of unreachable workers are gone once their lease ran out.
 func (a *Agent) inspect(now time.Time) {
@@ -261,6 +266,13 @@
 		}
 		expired := now.Sub(m.answerEnd) > a.settings.GoneAfter()
 		for k, t := range m.tasks {
+			if t.state == worker.Ended && !t.forget && now.Sub(t.endedAt) > longEnded {
+				// The word to forget it may have gone to an earlier owner. Its
+				// job's record tells; until it is gone, the machine is not idle.
+				t.endedAt, t.verify = now, true
+				a.unread[t.ref.Job] = true
+				a.learnSoon()
+			}
 			if t.state == stateHeld && now.After(t.holdUntil) || expired {
 				t.settle(Refused)
 				m.drop(k)
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -30,7 +30,8 @@
 	seen      bool // a report has shown it
 	sent      bool
 	sentToken uint64
-	fence     uint64 // token that a report must show before a copy of the start is certainly dead
+	fence     uint64    // token that a report must show before a copy of the start is certainly dead
+	endedAt   time.Time // when a report first showed it ended, or when that was last looked into
 	stop      bool
 	grace     time.Duration
 	stopFirst time.Time // when the stop was sent first
@@ -252,6 +253,9 @@
 func (m *machine) learn(t *task, now time.Time) {
 	switch t.state {
 	case worker.Ended:
+		if t.endedAt.IsZero() {
+			t.endedAt = now
+		}
 		switch t.cause {
 		case worker.NoRoom, worker.Busy, worker.NoSuch:
 			// Refused by the worker: it never ran, so there is nothing to record.
--- a/fakes/state.go
+++ b/fakes/state.go
@@ -28,6 +28,7 @@
 	// transactions out but loses their answers.
 	Down, LoseAnswers bool
 
+	slow    time.Duration // how long a transaction takes
 	changes int
 }
 
@@ -50,6 +51,13 @@
 	return s
 }
 
+// Delay sets how long transactions take from now on.
+func (s *State) Delay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = d
+}
+
 // Set changes what fails.
 func (s *State) Set(down, loseAnswers bool) {
 	s.mu.Lock()
@@ -98,6 +106,10 @@
 
 // Txn applies a transaction.
 func (s *State) Txn(_ context.Context, when []statekv.Cond, then []statekv.Op) (uint64, error) {
+	s.mu.Lock()
+	slow := s.slow
+	s.mu.Unlock()
+	time.Sleep(slow)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.Down {
--- a/placer/flush.go
+++ b/placer/flush.go
@@ -106,6 +106,10 @@
 			for i := range j.tasks {
 				p.stopTask(j, i, 0)
 			}
+			// Members of a gang that were reported during the write are recorded
+			// with it too: no later write would have them forgotten, and their
+			// machines would never count as idle again.
+			ended = len(j.ended)
 		}
 		p.forgets = append(p.forgets, j.ended[:ended]...)
 		j.ended = j.ended[ended:]
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -31,6 +31,8 @@
 	nodes   map[string]*node
 	boxes   []*fakes.Worker
 	homes   map[*fakes.Worker]string // the node that each reports to
+
+	forgetful bool // words to stop or forget tasks get lost
 }
 
 type node struct {
@@ -69,6 +71,9 @@
 	case "Agent.Commit":
 		return n.svc.Commit(args.(agent.CommitRequest), reply.(*agent.CommitReply))
 	case "Agent.Stop":
+		if w.forgetful {
+			return nil // it went to an owner that was about to end
+		}
 		return n.svc.Stop(args.(agent.StopRequest), &struct{}{})
 	case "Agent.Judge":
 		return n.svc.Judge(args.([]agent.Verdict), &struct{}{})
@@ -560,3 +565,50 @@
 		}
 	})
 }
+
+// Half of the machines of a fleet that had run gangs were never returned: members
+// that were reported while the gang's end was being written were forgotten by nobody,
+// and with an ended task a machine does not count as idle.
+func TestMembersThatEndApartAreAllForgotten(t *testing.T) {
+	story(t, func(w *world) {
+		n := w.start("host-0")
+		w.run(3 * time.Second)
+		w.submit(n, spec("wk-1", job.Gang, 2, 2))
+		w.run(4 * time.Second)
+		w.state.Delay(1500 * time.Millisecond)
+		for i, box := range w.boxes {
+			for k := range 2 {
+				w.workers.End(box, job.TaskID("wk-1", k), worker.Done)
+			}
+			if i == 0 {
+				w.run(time.Second)
+			}
+		}
+		w.run(8 * time.Second)
+		if w.final("wk-1") != job.Done || w.tasks() != 0 {
+			t.Fatalf("%q, with %d ended tasks on machines", w.final("wk-1"), w.tasks())
+		}
+	})
+}
+
+// The word to forget an ended task may get lost with the owner that it was sent
+// to; the job's record tells the next one.
+func TestEndedTasksOfJobsThatAreOverAreForgotten(t *testing.T) {
+	story(t, func(w *world) {
+		n := w.start("host-0")
+		w.run(3 * time.Second)
+		w.submit(n, spec("wk-1", job.Array, 2, 1))
+		w.run(4 * time.Second)
+		w.endAll(worker.Done)
+		w.forgetful = true
+		w.run(10 * time.Second)
+		w.forgetful = false
+		if w.final("wk-1") != job.Done || w.tasks() != 2 {
+			t.Fatalf("%q, with %d tasks on machines", w.final("wk-1"), w.tasks())
+		}
+		w.run(30 * time.Second)
+		if w.tasks() != 0 {
+			t.Fatalf("%d ended tasks of a job that is over stay on machines", w.tasks())
+		}
+	})
+}
