Owners keep a cut-off zone alive up to the bound, and machines have owners in their zone

Change: margin 1 s, derived in config.HoldTime; workers are called in by a higher token before the hold ends; new machines and shards go to controllers of their zone, unless these would have more than twice the mean; shards with machines in doubt are not evened out; watches of 1 s at most.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,6 +42,9 @@
 	visits   map[string]visit  // workers that keep coming though their owner lives
 	seen     map[string]sight  // shards as seen last, and since when
 	gens     map[int]int       // how often this life had to make a shard for each place
+	calledIn bool              // whether the workers were, in the present outage
+	sent     map[string]time.Time
+	zoneSize map[string]int // machines of the fleet, by zone
 	ver      uint64
 	changed  chan struct{}
 	counters Counters
@@ -57,7 +60,7 @@
 	return &Agent{
 		settings: settings, store: store, mirror: mirror, member: member, workers: workers, types: types,
 		claims: make(chan claim, 256), learns: make(chan struct{}, 1),
-		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, claiming: map[string]bool{}, released: map[string]uint64{}, visits: map[string]visit{}, seen: map[string]sight{}, gens: map[int]int{}, changed: make(chan struct{}),
+		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, claiming: map[string]bool{}, released: map[string]uint64{}, visits: map[string]visit{}, seen: map[string]sight{}, gens: map[int]int{}, sent: map[string]time.Time{}, changed: make(chan struct{}),
 	}
 }
 
@@ -100,9 +103,44 @@
 
 // answering reports whether this controller may still act for its machines:
 // a successor counts on it to fall silent in time.
-func (a *Agent) answering(now time.Time) bool {
-	hold := a.settings.HoldTime()
-	return now.Sub(a.member.Renewed()) < hold && now.Sub(a.mirror.Fresh()) < hold
+func (a *Agent) answering(now time.Time) bool { return a.holdLeft(now) > 0 }
+
+// holdLeft is how much longer it may, if it does not reach the state service again.
+func (a *Agent) holdLeft(now time.Time) time.Duration {
+	known := a.member.Renewed()
+	if fresh := a.mirror.Fresh(); fresh.Before(known) {
+		known = fresh
+	}
+	return a.settings.HoldTime() - now.Sub(known)
+}
+
+// lastCall is how long before the end of the hold time the workers are asked to
+// report once more.
+const lastCall = 1500 * time.Millisecond
+
+// callIn raises the tokens of all machines when the hold time is about to end: a
+// worker that sees a higher token reports within half a second, so that its lease
+// counts from the end of the hold time, and not from up to a report's interval
+// before. An outage of the state service or a cut of the zone may be over by then.
+func (a *Agent) callIn(now time.Time) {
+	left := a.holdLeft(now)
+	if left > lastCall || left <= 0 || a.member.Certain() {
+		a.calledIn = a.calledIn && left <= lastCall
+		return
+	}
+	if a.calledIn {
+		return
+	}
+	a.calledIn = true
+	n := 0
+	for _, m := range a.machines {
+		if !m.gone && !m.removing && m.settled && !m.silent {
+			m.counter++
+			m.wake()
+			n++
+		}
+	}
+	slog.Info("workers are called in", "machines", n)
 }
 
 // Reply is the answer to a worker's report: orders, or where to report instead.
@@ -125,6 +163,9 @@
 		holder, owned := Owner(a.mirror, kv)
 		switch {
 		case !exists:
+			if home := a.zoneOwner(r, now); home != "" {
+				return Reply{Home: home}
+			}
 			return a.claimFor(ctx, r, 0)
 		case holder == a.member.Holder:
 			if !a.takeUp(kv) {
@@ -244,6 +285,7 @@
 			delete(a.voided, ref)
 		}
 	}
+	a.callIn(now)
 	for name, m := range a.machines {
 		if m.gone {
 			if now.Sub(m.heard) > 2*time.Minute {
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -37,9 +37,27 @@
 }
 
 func start(t *testing.T, ctx context.Context, host string, state *fakes.State, workers *fakes.Workers) *node {
+	t.Helper()
+	return startWith(t, ctx, settings(), host, state, workers)
+}
+
+// startIn starts one of three controllers in two zones, host-1 in b.
+func startIn(t *testing.T, ctx context.Context, host, zone string, state *fakes.State, workers *fakes.Workers) *node {
+	t.Helper()
+	s := settings()
+	s.Host, s.Zone, s.Zones = host, zone, []string{"a", "b"}
+	for _, p := range []config.Peer{{Host: "host-0", Zone: "a"}, {Host: "host-1", Zone: "b"}, {Host: "host-2", Zone: "a"}} {
+		if p.Host != host {
+			s.Peers = append(s.Peers, p)
+		}
+	}
+	return startWith(t, ctx, s, host, state, workers)
+}
+
+func startWith(t *testing.T, ctx context.Context, settings *config.Settings, host string, state *fakes.State, workers *fakes.Workers) *node {
 	t.Helper()
 	ctx, stop := context.WithCancel(ctx)
-	mirror := statekv.NewMirror(state, []string{statekv.FleetPrefix, job.OpenPrefix}, statekv.RootPrefix, settings().WatchTime(), 0, func([]statekv.Event) {})
+	mirror := statekv.NewMirror(state, []string{statekv.FleetPrefix, job.OpenPrefix}, statekv.RootPrefix, settings.WatchTime(), 0, func([]statekv.Event) {})
 	if err := mirror.Load(ctx); err != nil {
 		t.Fatal(err)
 	}
@@ -47,7 +65,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := agent.New(settings(), state, mirror, member, workers, func() map[string]cloud.MachineType { return types })
+	a := agent.New(settings, state, mirror, member, workers, func() map[string]cloud.MachineType { return types })
 	go mirror.Run(ctx)
 	go func() { _ = member.Keep(ctx) }()
 	go a.Run(ctx)
--- a/agent/balance.go
+++ b/agent/balance.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -118,7 +119,7 @@
 		}
 		doubt := laterDoubt
 		others := slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return h == key.Host })
-		if heir(key, others) == a.member.Host {
+		if a.heir(key, others) == a.member.Host {
 			doubt = 0
 		}
 		if came[kv.Key] >= max(3, (size[kv.Key]+3)/4) && now.Sub(first[kv.Key]) >= doubt {
@@ -150,10 +151,10 @@
 	if !quiet || len(machines) < fewest*len(hosts) {
 		return nil
 	}
-	inShard := map[string][]*MachineKey{}
+	inShard := map[string][]statekv.KV{}
 	for _, kv := range machines {
 		if key := KeyOf(kv); key != nil {
-			inShard[statekv.ShardPrefix+key.Shard] = append(inShard[statekv.ShardPrefix+key.Shard], key)
+			inShard[statekv.ShardPrefix+key.Shard] = append(inShard[statekv.ShardPrefix+key.Shard], kv)
 		}
 	}
 	owned := map[string]int{}
@@ -177,10 +178,14 @@
 		return nil
 	}
 	out := map[string]string{}
-	var sample []*MachineKey
+	var sample []statekv.KV
+	// Those of this controller's own zone first.
+	slices.SortStableFunc(shards, func(x, y statekv.KV) int {
+		return cmp.Compare(a.foreign(x), a.foreign(y))
+	})
 	for _, kv := range shards {
 		n := len(inShard[kv.Key])
-		if key := parsed[ShardKey](kv); key == nil || key.Host != richest || n == 0 || mine+n > theirs-n {
+		if key := parsed[ShardKey](kv); key == nil || key.Host != richest || n == 0 || mine+n > theirs-n || a.anyDoubt(inShard[kv.Key]) {
 			continue
 		}
 		out[kv.Key] = "machines are evened out"
@@ -196,12 +201,29 @@
 	return out
 }
 
+// anyDoubt reports whether any of the machines is silent or has not answered its
+// owner yet: another owner would have to wait for its lease from the start.
+func (a *Agent) anyDoubt(machines []statekv.KV) bool {
+	return a.Known != nil && slices.ContainsFunc(machines, func(kv statekv.KV) bool {
+		e := a.Known(kv.Key[len(statekv.MachinePrefix):])
+		return !e.Settled || e.Silent
+	})
+}
+
+// foreign is 1 for a shard of another zone than this controller's.
+func (a *Agent) foreign(shard statekv.KV) int {
+	if key := parsed[ShardKey](shard); key != nil && a.shardZone(key.Index) == a.settings.Zone {
+		return 0
+	}
+	return 1
+}
+
 // reaches reports whether some of the machines, drawn at random, answer here. A
 // command under token 0 is never carried out and answered with a report.
-func (a *Agent) reaches(ctx context.Context, machines []*MachineKey) bool {
+func (a *Agent) reaches(ctx context.Context, machines []statekv.KV) bool {
 	for range min(probes, len(machines)) {
 		cctx, cancel := context.WithTimeout(ctx, time.Second)
-		_, _, err := a.workers.Command(cctx, machines[rand.IntN(len(machines))].Address, 0, 1, nil)
+		_, _, err := a.workers.Command(cctx, KeyOf(machines[rand.IntN(len(machines))]).Address, 0, 1, nil)
 		cancel()
 		if err != nil {
 			return false
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -90,11 +90,13 @@
 }
 
 // heir is who takes over a shard whose owner's life has ended: the same
-// controller if it is back, or one of the others, each a few.
-func heir(key *ShardKey, hosts []string) string {
+// controller if it is back, or one of the others, each a few, of the shard's zone
+// if there are any.
+func (a *Agent) heir(key *ShardKey, hosts []string) string {
 	if slices.Contains(hosts, key.Host) {
 		return key.Host
 	}
+	hosts = a.inZone(hosts, a.shardZone(key.Index))
 	return hosts[(hashOf(key.Host)+key.Index)%len(hosts)]
 }
 
@@ -126,6 +128,7 @@
 	}
 	now := time.Now()
 	shards, machines := a.mirror.Dir(statekv.ShardPrefix), a.mirror.Dir(statekv.MachinePrefix)
+	a.countZones(machines)
 	wanted := a.strayShards(shards, machines, hosts, now)
 	if len(wanted) == 0 {
 		wanted = a.evenOut(ctx, shards, machines, hosts, now)
@@ -171,7 +174,7 @@
 		from := key.Holder
 		if wanted[kv.Key] != "" {
 			from = statekv.Holder{}
-		} else if a.member.Alive(key.Holder) || heir(key, heirs) != a.member.Host {
+		} else if a.member.Alive(key.Holder) || a.heir(key, heirs) != a.member.Host {
 			continue
 		}
 		keys[kv.Key] = key
--- /dev/null
+++ b/agent/zone.go
@@ -0,0 +1,80 @@
+package agent
+
+import (
+	"time"
+
+	"robinstack/statekv"
+	"robinstack/worker"
+)
+
+// A zone may be cut off from everything for a minute. The machines in it go on
+// with their tasks as long as their owner can answer them, and those of an owner
+// outside die when their leases run out. So machines belong to controllers of
+// their own zone, as far as those can carry them.
+
+// inZone keeps the hosts in the zone, if there are any; else all.
+func (a *Agent) inZone(hosts []string, zone string) []string {
+	var in []string
+	for _, h := range hosts {
+		if zone != "" && a.settings.ZoneOf(h) == zone {
+			in = append(in, h)
+		}
+	}
+	if in == nil {
+		return hosts
+	}
+	return in
+}
+
+// sendTwice is how long after a new machine was sent to a controller of its zone
+// it is claimed by whoever it comes to: it plainly was not taken there.
+const sendTwice = 15 * time.Second
+
+// zoneOwner names the controller that a new machine's worker should report to
+// instead, or nothing if it is to be claimed here. A zone whose controllers would
+// own more than twice the mean shares its machines out.
+func (a *Agent) zoneOwner(r *worker.Report, now time.Time) string {
+	hosts := a.member.AliveHosts()
+	in := a.inZone(hosts, r.Zone)
+	if a.settings.Zone == r.Zone || len(in) == len(hosts) {
+		return ""
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	all := 0
+	for _, n := range a.zoneSize {
+		all += n
+	}
+	if a.zoneSize[r.Zone]*len(hosts) > 2*all*len(in) {
+		return ""
+	}
+	if now.Sub(a.sent[r.Machine]) < sendTwice {
+		return ""
+	}
+	if len(a.sent) > 4096 {
+		clear(a.sent)
+	}
+	a.sent[r.Machine] = now
+	return in[hashOf(r.Machine)%len(in)]
+}
+
+// countZones takes note of how many machines each zone has.
+func (a *Agent) countZones(machines []statekv.KV) {
+	size := map[string]int{}
+	for _, kv := range machines {
+		if key := KeyOf(kv); key != nil {
+			size[key.Zone]++
+		}
+	}
+	a.mu.Lock()
+	a.zoneSize = size
+	a.mu.Unlock()
+}
+
+// shardZone is the zone whose machines a shard is for.
+func (a *Agent) shardZone(index int) string {
+	if len(a.settings.Zones) == 0 {
+		return ""
+	}
+	return a.settings.Zones[index/ownShards%len(a.settings.Zones)]
+}
--- /dev/null
+++ b/agent/zone_test.go
@@ -0,0 +1,119 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/fakes"
+	"robinstack/statekv"
+)
+
+// The hold time at its bound: an owner that has lost the state service keeps its
+// workers' leases alive as long as it may, and what it keeps alive is gone within
+// the cancellation time of the last moment at which it knew of all cancellations.
+// With a margin of 4 s, and workers that reported when they pleased, 277 machines
+// were given up a second before their zone came back.
+func TestHoldTimeGoesToItsBoundAndNoFurther(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		n := start(t, ctx, "host-0", state, workers)
+		w := workers.Add("m1", "box", "a")
+		for range 3 {
+			n.report(workers, w)
+			time.Sleep(time.Second)
+		}
+		state.Set(true, false)
+		lost := time.Now() // a cancellation may be written from now on
+		var kept time.Time // when the last report was sent that was answered
+		var seen uint64
+		next := time.Now()
+		for time.Since(lost) < cancelGone {
+			var token uint64
+			workers.Do(func() { token = w.Report.Token })
+			// Workers report at intervals, and within half a second of a higher token.
+			if time.Now().After(next) || token > seen {
+				seen, next = token, time.Now().Add(settings().Workers.Report)
+				if n.report(workers, w).Owner {
+					kept = time.Now()
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		end := kept.Add(settings().Workers.Lease).Sub(lost)
+		if end > cancelGone {
+			t.Errorf("tasks are gone %v after the owner knew all cancellations, %v are allowed", end, cancelGone)
+		}
+		if end < cancelGone-4*time.Second {
+			t.Errorf("tasks die after %v already, %v are allowed", end, cancelGone)
+		}
+	})
+}
+
+// Machines of owners in other zones died 34 s after their zone was cut off: a new
+// machine's worker is sent to a controller of its zone, and taken by whoever it
+// comes to if it is not taken there.
+func TestNewMachinesGoToOwnersInTheirZone(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		a := startIn(t, ctx, "host-0", "a", state, workers)
+		b := startIn(t, ctx, "host-1", "b", state, workers)
+		time.Sleep(2 * time.Second)
+		w := workers.Add("m1", "box", "b")
+		r := workers.Next(w)
+		if reply := a.agent.Report(ctx, &r); reply.Owner || reply.Home != "host-1" {
+			t.Fatalf("another zone's machine: %+v", reply)
+		}
+		r = workers.Next(w)
+		if reply := b.agent.Report(ctx, &r); !reply.Owner {
+			t.Fatalf("its own zone's controller: %+v", reply)
+		}
+		w = workers.Add("m2", "box", "b")
+		for range 2 { // host-1 does not answer it
+			r = workers.Next(w)
+			a.agent.Report(ctx, &r)
+			time.Sleep(time.Second)
+		}
+		if _, ok := a.entries()["m2"]; !ok {
+			t.Fatal("a machine that its zone's controller does not take is left alone")
+		}
+	})
+}
+
+// When an owner dies its shards go to controllers of their zone, and shards with
+// machines that are silent or not confirmed stay where they are: with another owner
+// the wait for their leases would begin anew, and slots wait for it.
+func TestShardsStayInTheirZoneAndWithTheirDoubts(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		a := startIn(t, ctx, "host-0", "a", state, workers)
+		var all []*fakes.Worker
+		for i := range 40 {
+			w := workers.Add(fmt.Sprint("m", i), "box", "a")
+			all = append(all, w)
+			go a.report(workers, w)
+		}
+		time.Sleep(4 * time.Second)
+		for _, w := range all {
+			go a.report(workers, w)
+		}
+		c := startIn(t, ctx, "host-2", "a", state, workers)
+		b := startIn(t, ctx, "host-1", "b", state, workers)
+		b.agent.Known = func(m string) agent.Entry { return agent.Entry{Machine: m, Settled: false} }
+		c.agent.Known = b.agent.Known
+		time.Sleep(25 * time.Second)
+		if n := len(b.entries()) + len(c.entries()); n != 0 {
+			t.Fatalf("%d machines in doubt were evened out", n)
+		}
+		a.stop()
+		if err := state.Revoke(ctx, 1); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		if nb, nc := len(b.entries()), len(c.entries()); nb != 0 || nc != 40 {
+			t.Fatalf("the other zone's controller took %d machines, their own zone's %d", nb, nc)
+		}
+		if kv, _ := c.mirror.Get(statekv.MachinePrefix + "m0"); agent.KeyOf(kv) == nil {
+			t.Fatal("a machine's key is gone")
+		}
+	})
+}
--- a/config/config.go
+++ b/config/config.go
@@ -222,18 +222,40 @@
 	return hosts
 }
 
+// ZoneOf returns the zone of a controller, or "" if it is not known.
+func (s *Settings) ZoneOf(host string) string {
+	if host == s.Host {
+		return s.Zone
+	}
+	for _, p := range s.Peers {
+		if p.Host == host {
+			return p.Zone
+		}
+	}
+	return ""
+}
+
 // HoldTime is how long an owner that cannot renew its state lease goes on
 // answering its workers. Whatever it keeps alive must still be gone within
-// the cancellation time once the worker's own lease has run out as well. It is
-// never less than what renewals and watches take when all is well.
+// the cancellation time once the worker's own lease has run out as well.
+//
+// It counts from the sending of the last request that showed the owner the present.
+// A cancellation that it does not know was written, and told to its user, after
+// that. A worker's lease counts from the sending of a report, which comes before its
+// answer, so delivery costs nothing; what is left to allow for is the drift of both
+// clocks, 0.05% each, and the kill itself: together well under holdMargin. See
+// "The hold time" in docs/design.md. It is never less than what renewals and
+// watches take when all is well.
 func (s *Settings) HoldTime() time.Duration {
-	return max(2500*time.Millisecond, s.Workers.CancelGone-s.Workers.Lease-4*time.Second)
+	return max(2500*time.Millisecond, s.Workers.CancelGone-s.Workers.Lease-holdMargin)
 }
 
+const holdMargin = time.Second
+
 // WatchTime is how long a watch of the state service may wait: an owner takes
 // its view for current only for the hold time, so it must be renewed within it.
 func (s *Settings) WatchTime() time.Duration {
-	return min(2*time.Second, s.HoldTime()/4)
+	return min(time.Second, s.HoldTime()/4)
 }
 
 // WatchPause is the least time between two watches of one controller. In a
