robinstack audit: where the money for machines went, from the logs

Change: package audit (logfmt) and the command; the steward logs names with rentals and prices, owners log machines that come up and what each attempt did; one line an attempt. Parts add up by construction (rapid test), cut and mixed logs are named by line.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -257,6 +257,9 @@
 	slog.Info("machine has a new owner", "machine", m.name)
 	for _, t := range m.tasks {
 		t.settle(Unsettled)
+		if t.seen && t.state != worker.Ended {
+			m.over(t, time.Now(), "handed over")
+		}
 	}
 	a.released[m.name] = m.rev
 	if !m.gone { // a deleted machine whose late report another controller met has stopped already
@@ -304,7 +307,7 @@
 		}
 		if !m.silent && now.Sub(m.heard) > quiet {
 			m.silent, changed = true, true
-			slog.Info("machine is silent", "machine", m.name)
+			slog.Info("machine is silent", "machine", m.name, "for_s", seconds(now.Sub(m.heard)))
 		}
 		expired := now.Sub(m.answerEnd) > a.settings.GoneAfter()
 		for k, t := range m.tasks {
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -39,8 +39,10 @@
 	forget    bool
 	holdUntil time.Time
 	runningAt time.Time
-	counted   bool        // its end has been held for or against its machine
-	result    chan string // verdict for the waiting commit, buffered
+	spent     [4]time.Duration // fetching, gathering, running, saving, as seen here
+	passed    time.Time        // until when that is booked
+	counted   bool             // its end has been held for or against its machine
+	result    chan string      // verdict for the waiting commit, buffered
 }
 
 const stateHeld = "held"
@@ -116,10 +118,38 @@
 }
 
 func (m *machine) drop(key taskKey) {
+	if t := m.tasks[key]; t != nil && t.seen && t.state != worker.Ended {
+		m.over(t, time.Now(), "lost")
+	}
 	delete(m.tasks, key)
 	m.summed = false
 }
 
+// pass books the time up to now on what the task has been doing.
+func (t *task) pass(now time.Time) {
+	if k, on := phases[t.state]; on && !t.passed.IsZero() {
+		t.spent[k] += now.Sub(t.passed)
+	}
+	t.passed = now
+}
+
+var phases = map[string]int{Starting: 0, worker.Fetching: 0, worker.Gathering: 1, worker.Running: 2, worker.Saving: 3}
+
+// over logs what a task did on the machine, once it is not there any more or is
+// another owner's to follow. The audit adds it up.
+func (m *machine) over(t *task, now time.Time, cause string) {
+	t.pass(now)
+	if t.spec == nil || t.spec.ID == "" {
+		return
+	}
+	s := t.spec
+	slog.Info("task over", "task", t.id, "attempt", t.ref.Attempt, "machine", m.name, "cause", cause, "saved", t.saved, "cpus", s.CPUs, "gpus", s.GPUs, "mem_gb", s.MemoryGB,
+		"fetch_s", seconds(t.spent[0]), "wait_s", seconds(t.spent[1]), "run_s", seconds(t.spent[2]), "save_s", seconds(t.spent[3]), "saves_every_s", s.CheckpointS)
+}
+
+// seconds rounds to milliseconds, for the log.
+func seconds(d time.Duration) float64 { return float64(d.Milliseconds()) / 1000 }
+
 // sum adds up what the tasks take, once after each change: drawing looks at
 // many machines, of which few have changed.
 func (m *machine) sum() {
@@ -189,6 +219,7 @@
 		}
 		if t.state != w.State || t.cause != w.Cause || t.saved != w.Saved || !t.seen {
 			changed, m.summed = true, false
+			t.pass(now)
 		}
 		t.state, t.cause, t.saved, t.seen, t.sent = w.State, w.Cause, w.Saved, true, true
 		m.learn(t, now)
@@ -255,6 +286,7 @@
 	case worker.Ended:
 		if t.endedAt.IsZero() {
 			t.endedAt = now
+			m.over(t, now, t.cause)
 		}
 		switch t.cause {
 		case worker.NoRoom, worker.Busy, worker.NoSuch:
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -507,5 +507,8 @@
 	a.touch(m)
 	go a.runMachine(a.ctx, m)
 	m.wake()
+	if !takenOver {
+		slog.Info("machine up", "machine", name, "type", m.typeName, "zone", m.zone, "spot", m.spot)
+	}
 	slog.Debug("machine owned", "machine", name, "type", m.typeName, "zone", m.zone, "spot", m.spot, "rev", strconv.FormatUint(rev, 10), "taken_over", takenOver)
 }
--- a/agent/service.go
+++ b/agent/service.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		m.claimedUntil = time.Time{}
-		t.state = Starting
+		t.state, t.passed = Starting, now
 		t.result = make(chan string, 1)
 		waits[i] = t.result
 		sending = true
--- /dev/null
+++ b/audit/audit_test.go
@@ -0,0 +1,133 @@
+package audit
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 9, 1, 12, 0, 0, 0, time.UTC)
+
+func line(after time.Duration, format string, args ...any) string {
+	return "time=" + start.Add(after).Format(time.RFC3339Nano) + " level=INFO " + fmt.Sprintf(format, args...) + "\n"
+}
+
+const reef = "msg=price type=reef hourly=36 spot=18 cpus=64 gpus=8 mem_gb=512"
+
+func read(t *testing.T, log string) *Log {
+	t.Helper()
+	l, err := Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// One machine's day, by hand: 36 an hour is 1 a hundred seconds.
+func TestPartsOfOneMachine(t *testing.T) {
+	l := read(t, line(0, reef)+
+		line(0, `msg=rented type=reef zone=a spot=false wanted=1 got=1 machines="[m1]"`)+
+		"  40.0 host-1 "+line(40*time.Second, `msg="machine up" machine=m1 type=reef zone=a spot=false`)+
+		line(150*time.Second, `msg="task over" task=wk-1/0 attempt=1 machine=m1 cause=done saved=false cpus=6 gpus=4 mem_gb=1 fetch_s=20 wait_s=0 run_s=80 save_s=0 saves_every_s=0`)+
+		line(150*time.Second, `msg="task over" task=wk-2/0 attempt=1 machine=m1 cause=peers saved=false cpus=6 gpus=4 mem_gb=1 fetch_s=0 wait_s=10 run_s=90 save_s=0 saves_every_s=40`)+
+		line(200*time.Second, `msg=returned machines=[m1]`))
+	b := l.Bill()
+	want := map[string]float64{Boot: 0.4, Fresh: 0.1, Fetch: 0.1, Useful: 0.4 + 0.4, Wait: 0.05, Repeated: 0.05, Ended: 0.5}
+	for _, part := range Parts {
+		if math.Abs(b.By[part]-want[part]) > 1e-9 {
+			t.Errorf("%s: %v, want %v", part, b.By[part], want[part])
+		}
+	}
+	if math.Abs(b.Money-2) > 1e-9 {
+		t.Errorf("in all %v, want 2", b.Money)
+	}
+}
+
+// Spot machines are charged the price of the moment, and a machine is charged for
+// a minute at least.
+func TestPricesChange(t *testing.T) {
+	l := read(t, line(0, reef)+
+		line(0, `msg=rented type=reef zone=a spot=true wanted=1 got=1 machines="[m1 m2]"`)+
+		line(10*time.Second, `msg=returned machines=[m2]`)+
+		line(100*time.Second, "%s", strings.Replace(reef, "spot=18", "spot=36", 1))+
+		line(300*time.Second, `msg=returned machines=[m1]`))
+	if b := l.Bill(); math.Abs(b.Money-(0.5+2+0.3)) > 1e-9 || b.Unseen != 2 {
+		t.Fatalf("%+v", b)
+	}
+}
+
+// A log that was cut or mixed with other output: what can be read is used, and the
+// rest is named with its line.
+func TestBrokenLogs(t *testing.T) {
+	whole := line(0, reef) + line(0, `msg=rented type=reef zone=a spot=false wanted=1 got=1 machines=[m1]`) + line(100*time.Second, `msg=returned machines=[m1]`)
+	over := `msg="task over" task=wk-1/0 machine=m1 cause=done saved=false cpus=6 gpus=8 mem_gb=1 fetch_s=%s wait_s=0 run_s=50 save_s=0 saves_every_s=0`
+	for name, c := range map[string]struct {
+		tail   string
+		reason string
+	}{
+		"cut in a string": {`time=2026-09-01T12:00:00Z level=INFO msg="task ov`, "line 4: is cut or no log line"},
+		"cut in the time": {`time=2026-09-`, `line 4: time: "2026-09-" is no time`},
+		"a missing field": {line(0, `msg=price type=kava hourly=3`), `line 4: msg="price": spot: is missing`},
+		"no amount":       {line(0, over, "-3"), `line 4: msg="task over": fetch_s: "-3" is no amount`},
+		"an endless line": {"time=" + strings.Repeat("x", 3*longestLine) + "\n", "line 4: is longer than a mebibyte"},
+	} {
+		l := read(t, whole+c.tail)
+		if len(l.Problems) != 1 || !strings.HasPrefix(l.Problems[0].String(), c.reason) {
+			t.Errorf("%s: %v", name, l.Problems)
+		}
+		if b := l.Bill(); math.Abs(b.Money-1) > 1e-9 {
+			t.Errorf("%s: the rest adds up to %v", name, b.Money)
+		}
+	}
+	if l := read(t, "nothing of ours\n\x00\xff\n"); l.Unknown != 2 || l.Bill().Machines != 0 {
+		t.Errorf("%+v", l)
+	}
+}
+
+// Whatever tasks do, and however their times overlap, run past the machine's or
+// overbook it, no part is negative and all add up to what the machines cost.
+func TestPartsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log strings.Builder
+		log.WriteString(line(0, reef))
+		want := 0.0
+		seconds := func(name string, most int) int { return rapid.IntRange(0, most).Draw(t, name) }
+		for i := range rapid.IntRange(1, 4).Draw(t, "machines") {
+			from := seconds("rented", 200)
+			to := from + 60 + seconds("life", 600)
+			log.WriteString(line(time.Duration(from)*time.Second, "msg=rented type=reef zone=a spot=false machines=[m%d]", i))
+			if rapid.Bool().Draw(t, "up") {
+				log.WriteString(line(time.Duration(from+seconds("boot", 700))*time.Second, `msg="machine up" machine=m%d type=reef zone=a spot=false`, i))
+			}
+			for k := range rapid.IntRange(0, 6).Draw(t, "tasks") {
+				log.WriteString(line(time.Duration(seconds("end", 900))*time.Second, `msg="task over" task=wk-1/%d machine=m%d cause=%s saved=%v cpus=1 gpus=%d mem_gb=1 fetch_s=%d wait_s=%d run_s=%d save_s=%d saves_every_s=%d`,
+					k, i, rapid.SampledFrom([]string{"done", "stopped", "lost"}).Draw(t, "cause"), rapid.Bool().Draw(t, "saved"), seconds("gpus", 12),
+					seconds("fetch", 90), seconds("wait", 90), seconds("run", 300), seconds("save", 9), seconds("every", 30)))
+			}
+			if rapid.Bool().Draw(t, "silent") {
+				log.WriteString(line(time.Duration(seconds("silent at", 900))*time.Second, `msg="machine is silent" machine=m%d for_s=14`, i))
+			}
+			log.WriteString(line(time.Duration(to)*time.Second, "msg=returned machines=[m%d]", i))
+			want += float64(to-from) / 100
+		}
+		l, err := Read(strings.NewReader(log.String()))
+		if err != nil || len(l.Problems) > 0 {
+			t.Fatal(err, l.Problems)
+		}
+		b := l.Bill()
+		sum := 0.0
+		for part, money := range b.By {
+			if money < 0 {
+				t.Fatalf("%s: %v", part, money)
+			}
+			sum += money
+		}
+		if math.Abs(sum-want) > 1e-6 || math.Abs(b.Money-want) > 1e-6 {
+			t.Fatalf("parts add up to %v, the bill is %v, the machines cost %v", sum, b.Money, want)
+		}
+	})
+}
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -33,8 +33,9 @@
 	gangs    map[string]gangClass // classes of gangs seen lately
 	retry    []cloud.Rental       // rentals without an answer, to be repeated under their names
 	resumAt  time.Time
-	toldAt   time.Time          // when the log last had the totals
-	lows     map[pool]*lowWater // idle machines of each pool
+	toldAt   time.Time             // when the log last had the totals
+	told     map[string][2]float64 // prices that the log has, by type
+	lows     map[pool]*lowWater    // idle machines of each pool
 	backlog  backlog
 	boots    bootWatch
 	mute     int      // machines that have not answered their new owners
@@ -58,7 +59,7 @@
 
 func newFleet() fleet {
 	return fleet{booting: map[string]boot{}, listed: map[string]time.Time{}, last: map[string]cloud.Machine{}, shut: map[pool]time.Time{}, limits: map[pool]int{},
-		gangs: map[string]gangClass{}, lows: map[pool]*lowWater{}, silent: map[string]time.Time{}, deleted: map[string]time.Time{}}
+		gangs: map[string]gangClass{}, lows: map[pool]*lowWater{}, silent: map[string]time.Time{}, deleted: map[string]time.Time{}, told: map[string][2]float64{}}
 }
 
 // runList reads the cloud's list and prices from time to time.
@@ -71,6 +72,7 @@
 			} else if len(types) > 0 {
 				typesAt = time.Now()
 				s.catalogue.Set(types)
+				s.tellPrices(types)
 				s.keepTypes(ctx, types)
 			}
 		}
@@ -88,6 +90,21 @@
 	}
 }
 
+// tellPrices logs the prices that have changed, for the audit.
+func (s *Steward) tellPrices(types []cloud.MachineType) {
+	for _, t := range types {
+		s.mu.Lock()
+		told := s.epoch == 0 || s.fleet.told[t.Name] == [2]float64{t.Price, t.SpotPrice}
+		if !told {
+			s.fleet.told[t.Name] = [2]float64{t.Price, t.SpotPrice}
+		}
+		s.mu.Unlock()
+		if !told {
+			slog.Info("price", "type", t.Name, "hourly", t.Price, "spot", t.SpotPrice, "cpus", t.CPUs, "gpus", t.GPUs, "mem_gb", t.MemoryGB)
+		}
+	}
+}
+
 // keepTypes stores the types once, for controllers that start while the cloud
 // does not answer.
 func (s *Steward) keepTypes(ctx context.Context, types []cloud.MachineType) {
@@ -529,7 +546,7 @@
 	for _, name := range names {
 		f.booting[name] = boot{pool: p, since: now, ours: true}
 	}
-	slog.Info("rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "wanted", r.Count, "got", len(names))
+	slog.Info("rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "wanted", r.Count, "got", len(names), "machines", names)
 }
 
 // giveBack drains idle machines, which their owners refuse if a task has come
