--- a/controller/controller.go
+++ b/controller/controller.go
@@ -20,6 +20,7 @@
 	"robinstack/peer"
 	"robinstack/placer"
 	"robinstack/policy"
+	"robinstack/serving"
 	"robinstack/statekv"
 	"robinstack/steward"
 	"robinstack/worker"
@@ -62,7 +63,7 @@
 	go c.pauses.watch(ctx)
 	go func() {
 		for ctx.Err() == nil {
-			if err := c.live(ctx); err != nil && ctx.Err() == nil {
+			if err := c.live(ctx, serving.NewClock(time.Now())); err != nil && ctx.Err() == nil {
 				slog.Info("life ended", "err", err)
 			}
 			c.gateway.SetLife(nil)
@@ -76,7 +77,7 @@
 }
 
 // live runs one life: from registration until the state lease is lost.
-func (c *Controller) live(parent context.Context) error {
+func (c *Controller) live(parent context.Context, clock *serving.Clock) error {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	var (
@@ -113,6 +114,7 @@
 	if err != nil {
 		return err
 	}
+	clock.Mark(serving.Life)
 	slog.Info("life begun", "host", member.Host, "instance", member.Instance)
 
 	server := rpc.NewServer()
@@ -124,6 +126,7 @@
 	defer network.Close()
 	ag = agent.New(c.settings, c.store, mirror, member, c.workers, c.catalogue.Types)
 	pl = placer.New(c.settings, c.policy, c.store, mirror, member, network, c.catalogue.Types)
+	pl.Clock = clock
 	st = steward.New(c.settings, c.policy, mirror, member, network, c.cloud, c.catalogue)
 	for name, service := range map[string]any{"Agent": agent.NewService(ag), "Placer": placer.NewService(pl), "Steward": steward.NewService(st)} {
 		if err := server.RegisterName(name, service); err != nil {
@@ -152,7 +155,7 @@
 	duties.Go(func() { feed.Run(ctx) })
 	duties.Go(func() { pl.Run(ctx, feed) })
 	duties.Go(func() { st.Run(ctx, feed) })
-	c.gateway.SetLife(&gateway.Life{Member: member, Mirror: mirror, Agent: ag, Placer: pl, Steward: st, Feed: feed, Call: network})
+	c.gateway.SetLife(&gateway.Life{Member: member, Mirror: mirror, Agent: ag, Placer: pl, Steward: st, Feed: feed, Call: network, Clock: clock})
 	err = <-lost
 	c.gateway.SetLife(nil)
 	cancel()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"robinstack/config"
 	"robinstack/job"
 	"robinstack/placer"
+	"robinstack/serving"
 	"robinstack/statekv"
 	"robinstack/steward"
 	"robinstack/worker"
@@ -33,6 +34,7 @@
 	Steward *steward.Steward
 	Feed    *agent.Feed
 	Call    agent.Caller
+	Clock   *serving.Clock
 }
 
 // Gateway answers HTTP requests.
@@ -147,6 +149,7 @@
 	if !l.Member.Certain() && l.Feed.PeersServed(g.settings.Host) > 0 {
 		return fail(c, fiber.StatusServiceUnavailable, "cut off from the state service")
 	}
+	l.Clock.Mark(serving.Ready)
 	return c.JSON(fiber.Map{"status": "ready"})
 }
 
@@ -297,6 +300,7 @@
 		[]statekv.Op{{Set: job.OpenKey(spec.ID), Value: rec}})
 	if err == nil {
 		l.Placer.Accepted(rec, rev)
+		l.Clock.Mark(serving.Accepted)
 		slog.Info("job accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks, "slot", slot)
 		return c.Status(fiber.StatusCreated).JSON(jobStatus{ID: spec.ID, Status: job.Queued})
 	}
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -19,16 +19,19 @@
 
 // Status is the read-only page that shows who holds what.
 type Status struct {
-	Host       string           `json:"host"`
-	Ready      bool             `json:"state_service_reached"`
-	Steward    string           `json:"steward"`
-	Teams      []TeamStatus     `json:"teams"`
-	Health     []agent.Health   `json:"controllers"`
-	Overdue    []steward.Late   `json:"boots_overdue"`
-	Latency    []Latency        `json:"answer_times_here"`
-	Refused    int64            `json:"queries_refused_here"`
-	Pauses     int              `json:"pauses_here"`
-	PauseS     float64          `json:"longest_pause_s"`
+	Host    string         `json:"host"`
+	Ready   bool           `json:"state_service_reached"`
+	Steward string         `json:"steward"`
+	Teams   []TeamStatus   `json:"teams"`
+	Health  []agent.Health `json:"controllers"`
+	Overdue []steward.Late `json:"boots_overdue"`
+	Latency []Latency      `json:"answer_times_here"`
+	Refused int64          `json:"queries_refused_here"`
+	Pauses  int            `json:"pauses_here"`
+	PauseS  float64        `json:"longest_pause_s"`
+
+	Serving map[string]float64 `json:"serving_again_here_s"` // steps since the start or the last lease lost
+
 	Fleet      []PoolStatus     `json:"fleet"`
 	Machines   []MachineStatus  `json:"machines,omitempty"`
 	Waiting    []placer.Waiting `json:"waiting"`
@@ -83,7 +86,7 @@
 	if l == nil {
 		return later(c, "starting")
 	}
-	s := Status{Host: g.settings.Host, Ready: l.Member.Certain(), Steward: l.Placer.StewardHost(), Placer: l.Placer.CountersNow(), Agent: l.Agent.CountersNow()}
+	s := Status{Host: g.settings.Host, Ready: l.Member.Certain(), Steward: l.Placer.StewardHost(), Placer: l.Placer.CountersNow(), Agent: l.Agent.CountersNow(), Serving: l.Clock.Seconds()}
 	entries := l.Feed.Entries()
 	held := map[string]job.Need{}
 	for i := range entries {
--- a/placer/place.go
+++ b/placer/place.go
@@ -13,6 +13,7 @@
 	"robinstack/agent"
 	"robinstack/job"
 	"robinstack/peer"
+	"robinstack/serving"
 	"robinstack/steward"
 )
 
@@ -474,6 +475,9 @@
 	err := p.call.Call(cctx, c.Host, "Agent.Commit", commit, &reply)
 	cancel()
 	unknown := errors.Is(err, peer.ErrNoAnswer)
+	if err == nil && slices.Contains(reply.Verdicts, agent.Started) {
+		p.Clock.Mark(serving.Placed)
+	}
 	var open []agent.TaskRef
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -18,6 +18,7 @@
 	"robinstack/config"
 	"robinstack/job"
 	"robinstack/policy"
+	"robinstack/serving"
 	"robinstack/statekv"
 	"robinstack/steward"
 )
@@ -98,6 +99,9 @@
 	feed     *agent.Feed
 	ctx      context.Context
 
+	// Clock takes notes of the first start and of settled slots. Set it before Run.
+	Clock *serving.Clock
+
 	mu       sync.Mutex
 	jobs     map[string]*jobState
 	slots    map[string]*slotState
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -13,6 +13,7 @@
 
 	"robinstack/agent"
 	"robinstack/job"
+	"robinstack/serving"
 	"robinstack/statekv"
 	"robinstack/steward"
 )
@@ -285,6 +286,7 @@
 		slog.Info("slot settled", "slot", id, "after", now.Sub(s.takenAt).Round(time.Millisecond))
 		p.tellSettled(ctx, id, s.epoch)
 	}
+	p.Clock.Mark(serving.Settled)
 	p.wake()
 }
 
--- a/placer/slots_test.go
+++ b/placer/slots_test.go
@@ -78,9 +78,9 @@
 		b, silent := crashWithSilent(w)
 		w.run(4 * time.Second)
 		young := w.workers.Add("m3", "box", "a")
+		w.workers.Do(func() { young.Deaf, silent.Deaf = true, false })
 		r := w.workers.Next(young)
 		b.agent.Report(w.ctx, &r) // claimed, and not heard of again
-		w.workers.Do(func() { young.Deaf, silent.Deaf = true, false })
 		w.boxes = append(w.boxes, silent)
 		w.run(3 * time.Second)
 		w.endAll(worker.Done)
