--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const valid = `{"host_name":"host-0","area":"a","listen":"10.0.0.1:8080","peer_bind":"10.0.0.1:8081",
+"peers":[{"host_name":"host-1","area":"b","address":"10.0.0.2:8081"}],"external":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},
+"facts":{"size":2,"zones":["a","b"],"teams":[{"name":"t","gpus":1,"gpus_max":2}],
+"objectives":[{"kind":"deadline","class":"c","share":0.9,"times":1.5},{"kind":"finished","class":"c","within_s":40,"share":0.9}],
+"workers":{"report_s":6,"lease_s":31,"gang_wait_s":45,"gang_peer_s":6,"cancel_s":56},
+"state":{"rps":180,"write_rps":70,"value_kb":8,"txn_ops":24},"cloud":{"rps":7,"list_lag_s":8},
+"quota":{"cores":0.276,"memory_mb":271,"max_connections":3402},"clock_off_ms":250,"new_field":[1]}}`
+
+func TestSettingsAsThePlatformWritesThem(t *testing.T) {
+	s, err := Parse([]byte(valid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.ZoneOf("host-1") != "b" || s.ZoneOf("host-9") != "" || len(s.Hosts()) != 2 || !s.Limited("t") {
+		t.Errorf("%+v", s)
+	}
+	deadline := 20.0
+	if l := s.Limits("c", &deadline); len(l) != 2 || l[0] != 30*time.Second || l[1] != 40*time.Second {
+		t.Errorf("limits %v", l)
+	}
+	// What an owner keeps alive is gone within cancel_s, with a second to spare.
+	if h := s.HoldTime(); h != 24*time.Second || h+s.Workers.Lease >= s.Workers.CancelGone {
+		t.Errorf("hold time %v", h)
+	}
+	if w := s.WatchTime(); w > time.Second {
+		t.Errorf("an owner may not know the present for %v", w)
+	}
+}
+
+// Every mistake is refused with its field, and all of them at once.
+func TestMistakesInSettings(t *testing.T) {
+	for field, change := range map[string][2]string{
+		"not valid JSON":        {`{"host_name"`, `{"host_name`},
+		"host_name":             {`"host_name":"host-0"`, `"host_name":""`},
+		"listen":                {`10.0.0.1:8080`, `10.0.0.1`},
+		"external.state":        {`10.2.0.1:2379`, ``},
+		"peers[0].host_name":    {`"host_name":"host-1"`, `"host_name":"host-0"`},
+		"peers[0].address":      {`10.0.0.2:8081`, `nowhere`},
+		"facts.teams[0]":        {`"gpus":1`, `"gpus":-1`},
+		"facts.workers.lease_s": {`"lease_s":31`, `"lease_s":5`},
+		"facts.workers.cancel":  {`"cancel_s":56`, `"cancel_s":30`},
+		"facts.state.txn_ops":   {`"txn_ops":24`, `"txn_ops":2`},
+		"facts.cloud.rps":       {`"cloud":{"rps":7`, `"cloud":{"rps":0`},
+	} {
+		broken := strings.Replace(valid, change[0], change[1], 1)
+		if broken == valid {
+			t.Fatalf("%s: nothing was changed", field)
+		}
+		if _, err := Parse([]byte(broken)); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+	two := strings.NewReplacer(`"rps":180`, `"rps":0`, `"gang_wait_s":45`, `"gang_wait_s":0`).Replace(valid)
+	if _, err := Parse([]byte(two)); err == nil || !strings.Contains(err.Error(), "state.rps") || !strings.Contains(err.Error(), "gang_wait_s") {
+		t.Errorf("two mistakes: %v", err)
+	}
+	if _, err := Load(t.TempDir() + "/none"); err == nil {
+		t.Error("a file that is not there")
+	}
+}
