A worker's new session has its lease from its beginning; answers never shorten one

Besides, of two answers the one begun earlier and given later set the time back. Change: a session seen first counts as answered then; the time is taken under the lock and never goes back.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -153,7 +153,7 @@
 // Report takes a worker's report.
 func (a *Agent) Report(ctx context.Context, r *worker.Report) Reply {
 	now := time.Now()
-	if reply, owned := a.ownReport(r, now); owned {
+	if reply, owned := a.ownReport(r); owned {
 		return reply
 	}
 	// A machine of an owner whose life has just ended gets a new one at once.
@@ -171,7 +171,7 @@
 			if !a.takeUp(kv) {
 				return a.claimFor(ctx, r, kv.Rev)
 			}
-			reply, _ := a.ownReport(r, time.Now())
+			reply, _ := a.ownReport(r)
 			return reply
 		case a.member.Alive(holder):
 			if a.cannotReach(r.Machine, owned, now) {
@@ -206,13 +206,16 @@
 	case <-time.After(claimWait):
 	case <-ctx.Done():
 	}
-	reply, _ := a.ownReport(r, time.Now())
+	reply, _ := a.ownReport(r)
 	return reply
 }
 
-func (a *Agent) ownReport(r *worker.Report, now time.Time) (Reply, bool) {
+func (a *Agent) ownReport(r *worker.Report) (Reply, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	// Not before: in a starved process a report may have waited here for seconds,
+	// while others of the same worker were answered.
+	now := time.Now()
 	m := a.machines[r.Machine]
 	if m == nil {
 		return Reply{}, false
@@ -233,7 +236,7 @@
 		a.touch(m)
 		a.wantLearning(m)
 	}
-	m.answerEnd = now
+	m.answered(now)
 	if m.pressing(now) {
 		m.wake()
 	}
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -104,6 +104,15 @@
 
 func (m *machine) token() uint64 { return m.rev<<tokenBits + m.counter }
 
+// answered notes that a report was answered. An answer that was begun earlier and
+// given later must not set the end back: the worker's lease would be taken for over
+// while it runs.
+func (m *machine) answered(now time.Time) {
+	if now.After(m.answerEnd) {
+		m.answerEnd = now
+	}
+}
+
 // unfenced reports whether an unanswered command may still be under way.
 func (m *machine) unfenced() bool { return m.seenToken < m.token() }
 
@@ -183,6 +192,10 @@
 		return false
 	}
 	changed := r.Session != m.session || m.silent
+	if r.Session > m.session {
+		// A session has its lease from its beginning, answered or not.
+		m.answered(now)
+	}
 	if r.Session > m.session && m.session != 0 {
 		// The worker's lease ran out: it killed and forgot everything, and
 		// commands for the earlier session are refused from now on.
