--- a/agent/feed.go
+++ b/agent/feed.go
@@ -27,6 +27,7 @@
 	mu      sync.Mutex
 	entries map[string]Entry
 	acks    map[string]ack
+	hurry   chan struct{} // closed and replaced to have all agents asked anew
 }
 
 // ack says up to which state revision an agent is known to have caught up.
@@ -40,7 +41,7 @@
 // NewFeed returns a feed; minRev is the highest epoch that the agents must
 // know of before they answer, onNews gets every change.
 func NewFeed(call Caller, mirror *statekv.Mirror, hosts []string, minRev func() uint64, onNews func([]Entry)) *Feed {
-	return &Feed{call: call, mirror: mirror, hosts: hosts, minRev: minRev, onNews: onNews, entries: map[string]Entry{}, acks: map[string]ack{}}
+	return &Feed{call: call, mirror: mirror, hosts: hosts, minRev: minRev, onNews: onNews, entries: map[string]Entry{}, acks: map[string]ack{}, hurry: make(chan struct{})}
 }
 
 // Run follows all agents until ctx ends.
@@ -52,14 +53,47 @@
 	duties.Wait()
 }
 
+// Hurry has all agents asked anew, for minRev has grown: where nothing changes, a
+// question that is under way would be answered 2 s later, and only the next one
+// says that the agent knows of the new epoch.
+func (f *Feed) Hurry() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.hurry)
+	f.hurry = make(chan struct{})
+}
+
+// soon is how long an agent takes to answer at once that it has caught up.
+const soon = 100 * time.Millisecond
+
 func (f *Feed) followHost(ctx context.Context, host string) {
-	var instance, since uint64
+	var instance, since, asked uint64
 	for ctx.Err() == nil {
+		f.mu.Lock()
+		hurry := f.hurry
+		f.mu.Unlock()
 		req := WatchRequest{Instance: instance, Since: since, MinRev: f.minRev(), Wait: 2 * time.Second}
+		if req.MinRev > asked {
+			req.Wait, asked = soon, req.MinRev
+		}
 		var reply WatchReply
 		cctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+		go func() {
+			select {
+			case <-hurry:
+				cancel()
+			case <-cctx.Done():
+			}
+		}()
 		err := f.call.Call(cctx, host, "Agent.Watch", req, &reply)
 		cancel()
+		select {
+		case <-hurry:
+			if err != nil {
+				continue
+			}
+		default:
+		}
 		if err != nil {
 			slog.Debug("following an agent", "host", host, "err", err)
 			f.mu.Lock()
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -203,6 +203,7 @@
 	}
 	// Tasks that the feed has shown already are located now.
 	if p.feed != nil {
+		p.feed.Hurry()
 		p.OnEntries(p.feed.Entries())
 	}
 }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -106,6 +106,7 @@
 		s.ledger.clearPermits()
 		s.fleet = newFleet()
 		s.mu.Unlock()
+		s.feed.Hurry()
 		slog.Info("steward", "epoch", rev)
 	}
 	s.settle()
