Jobs wait a moment for machines with their image, and no job is passed by for ever

Change: placer/patience.go: where room is scarce a job lets rooms without its image go by for an eighth of the fetch; gangs of up to four for longer, as their aims leave time, and have machines with the image cleared where a fetch would be too late. The queue puts a job first 45 s before its class's wait aim.

--- a/config/config.go
+++ b/config/config.go
@@ -291,6 +291,18 @@
 	return out
 }
 
+// LastWait is the longest time within which tasks of a class should have started by
+// the users' aims, or 0 if there is none.
+func (s *Settings) LastWait(class string) time.Duration {
+	last := time.Duration(0)
+	for _, o := range s.Objectives {
+		if o.Kind == "wait" && o.Class == class {
+			last = max(last, o.Within)
+		}
+	}
+	return last
+}
+
 // Guest reports whether a team has no guarantee while others have one.
 func (s *Settings) Guest(team string) bool {
 	guaranteed := func(t Team) bool { return t.CPUs > 0 || t.GPUs > 0 }
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -104,6 +104,14 @@
 	return slices.DeleteFunc(slices.Clone(candidates), func(c agent.Candidate) bool { return c.Zone != zone })
 }
 
+// withImage keeps the candidates that have the image; for tasks of arrays also
+// those on which another task fetches it.
+func withImage(candidates []agent.Candidate, shape string) []agent.Candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(c agent.Candidate) bool {
+		return c.Image == 0 || c.Image < 1 && shape == job.Gang
+	})
+}
+
 // openZones lists the zones in which a further task may be started, given
 // where the job's others are; nil means any. Tasks that finished do not count.
 func openZones(spec *job.Spec, others map[string]int, zones []string) []string {
--- /dev/null
+++ b/placer/patience.go
@@ -0,0 +1,89 @@
+package placer
+
+import (
+	"time"
+
+	"robinstack/job"
+)
+
+// Where the fleet is full, tasks end all over it many times a second, and the room
+// that comes free next is as good for a job as the one that it is offered, but for
+// the image: to fetch it can take half as long as the task runs. So a job lets
+// rooms without its image go by for a moment, and jobs behind it with other images
+// take them. Nothing is left empty for longer than one job's patience.
+
+const (
+	// patienceShare is the part of the time a fetch takes that a job is patient for.
+	patienceShare = 0.12
+	// gangPatience is that for a gang: none of it runs before the slowest fetch is over.
+	gangPatience = 0.4
+	// patientGangs is the size up to which gangs wait for machines that all have the image.
+	patientGangs = 4
+	// fetchDoubt is how much longer than its rate says a fetch may take.
+	fetchDoubt = 1.3
+	// coldDoubt is that where it would be a pity rather than a loss.
+	coldDoubt = 1.15
+	// clearing is about how long it takes until cleared machines are free.
+	clearing = 8 * time.Second
+	// patiencePause is the time between two tries.
+	patiencePause = 250 * time.Millisecond
+)
+
+// patient reports whether the job lets rooms without its image go by, for some
+// time from the first that it was offered.
+func (p *Placer) patient(j *jobState, n int, scarce bool) bool {
+	fetch := p.fetchTime(j.spec)
+	most, slack := time.Duration(patienceShare*float64(fetch)), time.Duration(0)
+	if j.spec.Shape == job.Gang {
+		if n > patientGangs {
+			return false
+		}
+		slack = p.aimSlack(j, time.Duration(fetchDoubt*float64(fetch)))
+		most = min(time.Duration(gangPatience*float64(fetch)), slack)
+	} else if !scarce {
+		return false
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if j.patientTill.IsZero() {
+		j.patientTill, j.patientMost = now.Add(most), now.Add(slack)
+	}
+	// Machines that are being cleared because they have the image are worth more
+	// patience, as far as the aims leave it.
+	return now.Before(j.patientTill) || j.clearNear && now.Before(j.clearUntil) && now.Before(j.patientMost)
+}
+
+// coldIsLate reports whether a gang that has to fetch its image would start too
+// late by the tightest of the users' aims for its class, and one for which
+// machines with the image are cleared would not. To clear them costs about what
+// the fetch costs, in time of all the machines' GPUs.
+func (p *Placer) coldIsLate(j *jobState) bool {
+	left := p.timeLeft(j)
+	return left > clearing && left < time.Duration(coldDoubt*float64(p.fetchTime(j.spec)))
+}
+
+// fetchTime is how long the job's image usually takes, by the slowest machine type
+// that it may use.
+func (p *Placer) fetchTime(spec *job.Spec) time.Duration {
+	slowest := 0.0
+	for _, t := range p.types() {
+		if t.FetchGBPerS > 0 && spec.AllowsType(t.Name) && spec.Fits(job.Capacity(t)) {
+			slowest = max(slowest, spec.ImageGB/t.FetchGBPerS)
+		}
+	}
+	return time.Duration(slowest * float64(time.Second))
+}
+
+// aimSlack is how long a job may wait and still start by the tightest of the users'
+// aims for its class that it can meet if it has to fetch its image then.
+func (p *Placer) aimSlack(j *jobState, fetch time.Duration) time.Duration {
+	age := time.Since(j.submitted)
+	slack := time.Duration(0)
+	for _, o := range p.settings.Objectives {
+		if left := o.Within - age - fetch; o.Kind == "wait" && o.Class == j.spec.Class && left > 0 && (slack == 0 || left < slack) {
+			slack = left
+		}
+	}
+	return slack
+}
--- a/placer/place.go
+++ b/placer/place.go
@@ -67,7 +67,7 @@
 		if w == 0 || j.spec.Shape == job.Gang && w < len(j.tasks) {
 			continue
 		}
-		order := p.policy.Order(j.spec, now.Sub(j.submitted), p.settings.Limits(j.spec.Class, j.spec.DeadlineS))
+		order := p.policy.Order(j.spec, now.Sub(j.submitted), p.settings.Limits(j.spec.Class, j.spec.DeadlineS), p.settings.LastWait(j.spec.Class))
 		if j.suspect {
 			order = math.Inf(-1)
 		}
@@ -151,8 +151,12 @@
 		Share: p.policy.SampleMachines, Least: p.policy.SampleLeast, Spare: p.policy.MultiBind, Zones: openZones(spec, others, p.settings.Zones)}
 	p.mu.Unlock()
 
-	candidates := p.sample(ctx, req)
+	candidates, scarce := p.sample(ctx, req)
 	rank(candidates)
+	patient := false
+	if near := withImage(candidates, spec.Shape); len(near) < len(candidates) && p.patient(j, len(indices), scarce) {
+		patient, candidates = true, near
+	}
 	var lists [][]agent.Candidate
 	zone, apart := "", false
 	if spec.OneZone && req.Zones == nil && len(candidates) > 0 {
@@ -172,7 +176,18 @@
 	if spec.Spread {
 		lists = spreadOut(lists, others, (spec.Tasks+1)/2)
 	}
-	if spec.Shape == job.Gang && len(lists) < len(indices) && p.clearRoom(ctx, j, req, candidates, len(indices)) {
+	if patient && len(lists) < len(indices) {
+		p.mu.Lock()
+		j.nextTry = time.Now().Add(patiencePause)
+		p.mu.Unlock()
+		if spec.Shape == job.Gang && p.coldIsLate(j) {
+			p.clearRoom(ctx, j, req, candidates, len(indices), true)
+		}
+		if len(lists) == 0 || spec.Shape == job.Gang {
+			return false
+		}
+	}
+	if spec.Shape == job.Gang && len(lists) < len(indices) && p.clearRoom(ctx, j, req, candidates, len(indices), false) {
 		return false
 	}
 	if len(lists) == 0 || spec.Shape == job.Gang && len(lists) < len(indices) {
@@ -194,7 +209,7 @@
 		}
 	}
 	p.abandon(j, refused, false)
-	full = len(refused) > 0 || len(lists) < len(indices)
+	full = len(refused) > 0 || len(lists) < len(indices) && !patient
 	commit := agent.CommitRequest{Request: req, StewardEpoch: stewardEpoch}
 	if spec.Shape == job.Gang && len(granted) > 1 {
 		return !p.assemble(ctx, j, commit, granted)
@@ -211,8 +226,9 @@
 const clearPause = 12 * time.Second
 
 // clearRoom has owners stop tasks of lower priority where a gang would then
-// fit. It returns whether room is being made, so that the gang tries again soon.
-func (p *Placer) clearRoom(ctx context.Context, j *jobState, req agent.Request, candidates []agent.Candidate, n int) bool {
+// fit, if near is set only on machines that have its image. It returns whether room
+// is being made, so that the gang tries again soon.
+func (p *Placer) clearRoom(ctx context.Context, j *jobState, req agent.Request, candidates []agent.Candidate, n int, near bool) bool {
 	p.mu.Lock()
 	suspect := j.suspect
 	p.mu.Unlock()
@@ -231,8 +247,13 @@
 	if !p.limitAllows(ctx, j, req.Epoch, n) {
 		return false
 	}
-	req.Left = p.timeLeft(j)
-	options := p.ask(ctx, "Agent.Clearable", req)
+	if !near {
+		req.Left = p.timeLeft(j)
+	}
+	options, _ := p.ask(ctx, "Agent.Clearable", req)
+	if near {
+		options = withImage(options, job.Gang)
+	}
 	rank(options)
 	chosen := chooseCleared(j.spec.OneZone, candidates, options, n)
 	if len(chosen) == 0 {
@@ -258,7 +279,7 @@
 		})
 	}
 	calls.Wait()
-	j.clearUntil = time.Now().Add(clearPause)
+	j.clearUntil, j.clearNear = time.Now().Add(clearPause), near
 	soon()
 	return true
 }
@@ -305,16 +326,17 @@
 	return out
 }
 
-// sample asks a random share of the controllers for eligible machines.
-func (p *Placer) sample(ctx context.Context, req agent.Request) []agent.Candidate {
+// sample asks a random share of the controllers for eligible machines, and reports
+// whether room is scarce: all that were asked looked at every machine they own.
+func (p *Placer) sample(ctx context.Context, req agent.Request) (found []agent.Candidate, scarce bool) {
 	return p.ask(ctx, "Agent.Sample", req)
 }
 
-func (p *Placer) ask(ctx context.Context, method string, req agent.Request) []agent.Candidate {
+func (p *Placer) ask(ctx context.Context, method string, req agent.Request) (all []agent.Candidate, exhausted bool) {
 	hosts := pickHosts(p.member.AliveHosts(), p.policy.SampleControllers, shuffle)
 	var mu sync.Mutex
-	var all []agent.Candidate
 	var asks sync.WaitGroup
+	exhausted = true
 	cctx, cancel := context.WithTimeout(ctx, p.policy.SampleTimeout)
 	defer cancel()
 	for _, h := range hosts {
@@ -327,13 +349,14 @@
 			mu.Lock()
 			defer mu.Unlock()
 			all = append(all, reply.Candidates...)
+			exhausted = exhausted && reply.Exhausted
 		})
 	}
 	asks.Wait()
 	p.mu.Lock()
 	p.counters.Samples += uint64(len(hosts))
 	p.mu.Unlock()
-	return all
+	return all, exhausted
 }
 
 // begin numbers new attempts, never used before for the job.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -73,7 +73,10 @@
 	failures  int             // in a row, since any of it succeeded
 	suspect   bool            // it fails on every machine, as far as known
 
-	clearUntil time.Time // machines are being cleared for it; its placement's own
+	patientTill time.Time // until then it waits for machines that have its image
+	patientMost time.Time // and until then for machines that are being cleared
+	clearNear   bool      // only such with its image; like clearUntil
+	clearUntil  time.Time // machines are being cleared for it; its placement's own
 }
 
 func (j *jobState) waiting() int {
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -32,7 +32,8 @@
 	boxes   []*fakes.Worker
 	homes   map[*fakes.Worker]string // the node that each reports to
 
-	forgetful bool // words to stop or forget tasks get lost
+	objectives []config.Objective
+	forgetful  bool // words to stop or forget tasks get lost
 }
 
 type node struct {
@@ -105,7 +106,7 @@
 
 func (w *world) start(host string) *node {
 	w.t.Helper()
-	settings := &config.Settings{Host: host, Peers: []config.Peer{{Host: other(host)}}, Teams: map[string]config.Team{"t": {Name: "t"}}, Zones: []string{"a", "b"},
+	settings := &config.Settings{Host: host, Peers: []config.Peer{{Host: other(host)}}, Teams: map[string]config.Team{"t": {Name: "t"}}, Zones: []string{"a", "b"}, Objectives: w.objectives,
 		Workers: config.Workers{Report: 3 * time.Second, Lease: 30 * time.Second, GangWait: 45 * time.Second, CancelGone: 60 * time.Second},
 		State:   config.State{RPS: 100, WriteRPS: 50, ValueBytes: 8192, TxnOps: 24}}
 	ctx, stop := context.WithCancel(w.ctx)
@@ -122,7 +123,7 @@
 	if n.member, err = statekv.Join(ctx, w.state, mirror, host, 4*time.Second); err != nil {
 		w.t.Fatal(err)
 	}
-	types := map[string]cloud.MachineType{"box": {Name: "box", CPUs: 8, GPUs: 2, MemoryGB: 64}}
+	types := map[string]cloud.MachineType{"box": {Name: "box", CPUs: 8, GPUs: 2, MemoryGB: 64, FetchGBPerS: 0.1}}
 	n.agent = agent.New(settings, w.state, mirror, n.member, w.workers, func() map[string]cloud.MachineType { return types })
 	n.svc = agent.NewService(n.agent)
 	n.placer = placer.New(settings, policy.Default(), w.state, mirror, n.member, w, func() map[string]cloud.MachineType { return types })
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -161,11 +161,16 @@
 	return expr.Run(program, struct{}{})
 }
 
+// soon is the time in seconds before the aim for its wait from which on a job goes first.
+const soon = 45
+
 // Order puts jobs in the queue's order, higher first. The built-in order is
 // rank; jobs without a deadline by age; then those that can still meet the
 // earliest of limits, by when that is; those that can still meet the next; and
-// last those that are too late for all.
-func (p *Policy) Order(spec *job.Spec, age time.Duration, limits []time.Duration) float64 {
+// last those that are too late for all. A job whose tasks should all have started
+// soon by the users' aim, wait after its submission (0: none), goes before them: jobs
+// that come later and can meet their limits would pass it by for ever.
+func (p *Policy) Order(spec *job.Spec, age time.Duration, limits []time.Duration, wait time.Duration) float64 {
 	if p.order != nil {
 		env := jobEnv{Rank: spec.Priority(), Class: spec.Class, Team: spec.Team, Tasks: spec.Tasks, GPUs: spec.GPUs, CPUs: spec.CPUs,
 			AgeS: age.Seconds(), EstimateS: spec.EstimateS, HasDue: spec.DeadlineS != nil}
@@ -182,6 +187,9 @@
 	if spec.DeadlineS == nil {
 		return order + classes + age.Seconds()
 	}
+	if left := (wait - age).Seconds(); left > 0 && left < soon {
+		return order + 2*classes - left
+	}
 	for k, limit := range limits {
 		if left := (limit - age).Seconds(); left >= spec.EstimateS {
 			return order + classes/float64(k+1) - left
