--- a/agent/agent.go
+++ b/agent/agent.go
@@ -45,6 +45,7 @@
 	calledIn bool              // whether the workers were, in the present outage
 	sent     map[string]time.Time
 	zoneSize map[string]int // machines of the fleet, by zone
+	rooms    *rooms         // the machines by what is free on them
 	ver      uint64
 	changed  chan struct{}
 	counters Counters
@@ -60,7 +61,7 @@
 	return &Agent{
 		settings: settings, store: store, mirror: mirror, member: member, workers: workers, types: types,
 		claims: make(chan claim, 256), learns: make(chan struct{}, 1),
-		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, claiming: map[string]bool{}, released: map[string]uint64{}, visits: map[string]visit{}, seen: map[string]sight{}, gens: map[int]int{}, sent: map[string]time.Time{}, changed: make(chan struct{}),
+		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, claiming: map[string]bool{}, released: map[string]uint64{}, visits: map[string]visit{}, seen: map[string]sight{}, gens: map[int]int{}, sent: map[string]time.Time{}, rooms: newRooms(), changed: make(chan struct{}),
 	}
 }
 
@@ -269,6 +270,7 @@
 		close(m.quit)
 	}
 	delete(a.machines, m.name)
+	a.rooms.remove(m)
 }
 
 // unsettledQuiet is how long a machine may leave its new owner's commands
@@ -296,6 +298,7 @@
 		if m.gone {
 			if now.Sub(m.heard) > 2*time.Minute {
 				delete(a.machines, name)
+				a.rooms.remove(m)
 			}
 			continue
 		}
--- a/agent/clear.go
+++ b/agent/clear.go
@@ -94,6 +94,13 @@
 func (s *Service) Clearable(r Request, reply *Sample) error {
 	a := s.agent
 	now := time.Now()
+	hurries := false
+	for _, t := range a.types() {
+		hurries = hurries || a.hurries(&r, t)
+	}
+	if !hurries {
+		return nil
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	pool := a.shuffled()
--- a/agent/learn.go
+++ b/agent/learn.go
@@ -119,7 +119,7 @@
 			}
 		}
 		if changed {
-			m.summed = false
+			m.roomChanged()
 			m.wake()
 			a.touch(m)
 		}
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -94,6 +94,7 @@
 	known  bool     // whether all their needs are
 	busy   bool     // whether there are any
 	summed bool
+	rooms  *rooms // told when that changes
 
 	keptUntil time.Time // a gang has just left it: kept for the next for a moment
 	keptRank  int       // priority of that gang
@@ -123,7 +124,7 @@
 // put and drop keep the tasks and what is known of the machine's room together.
 func (m *machine) put(key taskKey, t *task) {
 	m.tasks[key] = t
-	m.summed = false
+	m.roomChanged()
 }
 
 func (m *machine) drop(key taskKey) {
@@ -131,7 +132,15 @@
 		m.over(t, time.Now(), "lost")
 	}
 	delete(m.tasks, key)
+	m.roomChanged()
+}
+
+// roomChanged has what is known of the machine's room worked out anew.
+func (m *machine) roomChanged() {
 	m.summed = false
+	if m.rooms != nil {
+		m.rooms.dirty[m] = true
+	}
 }
 
 // pass books the time up to now on what the task has been doing.
@@ -231,7 +240,8 @@
 			m.put(key, t)
 		}
 		if t.state != w.State || t.cause != w.Cause || t.saved != w.Saved || !t.seen {
-			changed, m.summed = true, false
+			changed = true
+			m.roomChanged()
 			t.pass(now)
 		}
 		t.state, t.cause, t.saved, t.seen, t.sent = w.State, w.Cause, w.Saved, true, true
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -503,6 +503,8 @@
 		m.answerEnd = now.Add(a.settings.HoldTime())
 	}
 	a.machines[name] = m
+	m.rooms = a.rooms
+	m.roomChanged()
 	delete(a.released, name)
 	a.touch(m)
 	go a.runMachine(a.ctx, m)
--- a/agent/sample.go
+++ b/agent/sample.go
@@ -66,11 +66,10 @@
 	types := a.types()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	pool := a.shuffled()
-	wanted := r.wanted(len(pool))
+	wanted := r.wanted(len(a.machines))
 	room := newRoomCount(&r)
 	var found []Candidate
-	for _, m := range pool {
+	for _, m := range a.withRoom(r.Spec.Need) {
 		if len(found) >= wanted && room.enough() {
 			break
 		}
--- a/placer/place.go
+++ b/placer/place.go
@@ -34,6 +34,28 @@
 	team    string
 }
 
+// shape is shared by all jobs with the same key.
+type shape struct{ fullTill time.Time }
+
+// shapeOf returns the shape of a job's tasks. The mutex is held.
+func (p *Placer) shapeOf(s *job.Spec) *shape {
+	key := keyOf(s)
+	if p.shapes[key] == nil {
+		p.shapes[key] = &shape{}
+	}
+	return p.shapes[key]
+}
+
+// dropShapes forgets the shapes that no job has any more.
+func (p *Placer) dropShapes() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.shapes)
+	for _, j := range p.jobs {
+		p.shapes[keyOf(j.spec)] = j.shape
+	}
+}
+
 func keyOf(s *job.Spec) shapeKey {
 	k := shapeKey{need: s.Need, spot: s.Spot, oneZone: s.OneZone, team: s.Team}
 	if s.Shape == job.Gang {
@@ -54,13 +76,16 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.workers >= maxPlacements {
+		return // the end of one of them wakes the queue
+	}
 	type item struct {
 		j     *jobState
 		order float64
 	}
 	var queue []item
 	for _, j := range p.jobs {
-		if j.over != "" || j.busy || now.Before(j.nextTry) || !p.mayStart(j) {
+		if j.over != "" || j.busy || now.Before(j.nextTry) || now.Before(j.shape.fullTill) || !p.mayStart(j) {
 			continue
 		}
 		w := j.waiting()
@@ -80,18 +105,9 @@
 		if p.workers >= maxPlacements {
 			break
 		}
-		key := keyOf(it.j.spec)
-		if now.Before(p.fullAt[key]) {
-			continue
-		}
 		it.j.busy = true
 		p.workers++
-		go p.place(ctx, it.j, key)
-	}
-	for k, t := range p.fullAt {
-		if now.After(t) {
-			delete(p.fullAt, k)
-		}
+		go p.place(ctx, it.j)
 	}
 }
 
@@ -103,7 +119,7 @@
 }
 
 // place takes one job through sampling, decision and commit.
-func (p *Placer) place(ctx context.Context, j *jobState, key shapeKey) {
+func (p *Placer) place(ctx context.Context, j *jobState) {
 	full := p.placeOnce(ctx, j)
 	now := time.Now()
 	p.mu.Lock()
@@ -117,7 +133,7 @@
 		if retry.After(j.nextTry) {
 			j.nextTry = retry
 		}
-		p.fullAt[key] = retry
+		j.shape.fullTill = retry
 	}
 	p.dropIfOver(j.spec.ID, j)
 	p.wake()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -50,6 +50,7 @@
 
 type jobState struct {
 	spec      *job.Spec
+	shape     *shape
 	slot      string
 	rev       uint64
 	submitted time.Time
@@ -115,7 +116,7 @@
 	forgets  []agent.StopItem
 	verdicts []agent.Verdict // on machines, to be told to their owners
 	releases []agent.TaskRef
-	fullAt   map[shapeKey]time.Time
+	shapes   map[shapeKey]*shape
 	gone     map[string]deleted // records deleted lately, which a slower read may still show
 	workers  int
 	counters Counters
@@ -137,7 +138,7 @@
 	return &Placer{settings: settings, policy: pol, store: store, mirror: mirror, member: member, call: call, types: types,
 		jobs: map[string]*jobState{}, slots: map[string]*slotState{}, on: map[string]map[agent.TaskRef]bool{},
 		stops: map[agent.TaskRef]bool{}, others: map[string]bool{},
-		fullAt: map[shapeKey]time.Time{}, gone: map[string]deleted{}, kick: make(chan struct{}, 1)}
+		shapes: map[shapeKey]*shape{}, gone: map[string]deleted{}, kick: make(chan struct{}, 1)}
 }
 
 // Epoch is the highest slot epoch held: agents must know of it.
@@ -175,6 +176,7 @@
 	every(200*time.Millisecond, p.sendStops)
 	every(time.Second, p.sendDemand)
 	every(2*time.Second, func(context.Context) { p.dropGone() })
+	every(10*time.Second, func(context.Context) { p.dropShapes() })
 	every(5*time.Second, p.dropSlots)
 	tick := time.NewTicker(150 * time.Millisecond)
 	defer tick.Stop()
@@ -230,6 +232,7 @@
 	if p.gone[rec.Spec.ID].rev > rev {
 		return nil // cancelled since the record was read
 	}
+	j.shape = p.shapeOf(j.spec)
 	if old := p.jobs[rec.Spec.ID]; old == nil || rev > old.rev && !old.flushing && old.slot != rec.Slot {
 		p.jobs[rec.Spec.ID] = j
 	}
