Shards without machines are not taken over; clearing looks at images first

Change: empty shards of ended lives are removed, not taken; home shards of other zones are made when a machine comes; Clearable filters by image before anything else where only such are wanted; one lock for a pass over the keys.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,6 +41,7 @@
 	released map[string]uint64 // machines given up, with the revision of our ownership
 	visits   map[string]visit  // workers that keep coming though their owner lives
 	seen     map[string]sight  // shards as seen last, and since when
+	homeless map[int]bool      // places for which there was no home shard when a machine came
 	gens     map[int]int       // how often this life had to make a shard for each place
 	calledIn bool              // whether the workers were, in the present outage
 	sent     map[string]time.Time
@@ -61,7 +62,7 @@
 	return &Agent{
 		settings: settings, store: store, mirror: mirror, member: member, workers: workers, types: types,
 		claims: make(chan claim, 256), learns: make(chan struct{}, 1),
-		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, claiming: map[string]bool{}, released: map[string]uint64{}, visits: map[string]visit{}, seen: map[string]sight{}, gens: map[int]int{}, sent: map[string]time.Time{}, rooms: newRooms(), changed: make(chan struct{}),
+		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, claiming: map[string]bool{}, released: map[string]uint64{}, visits: map[string]visit{}, seen: map[string]sight{}, gens: map[int]int{}, homeless: map[int]bool{}, sent: map[string]time.Time{}, rooms: newRooms(), changed: make(chan struct{}),
 	}
 }
 
--- a/agent/clear.go
+++ b/agent/clear.go
@@ -22,11 +22,11 @@
 // of work lost, and of fetching the image where the machine does not have it.
 func (a *Agent) victims(m *machine, r *Request, now time.Time) (stop []*task, cost float64, ok bool) {
 	t, known := a.types()[m.typeName]
-	if !known || a.unfit(m, r, now) != "" {
+	if _, has := m.images[r.Spec.Image]; !known || r.Near && !has || !a.hurries(r, t) || a.unfit(m, r, now) != "" {
 		return nil, 0, false
 	}
 	free, known := m.room(job.Capacity(t))
-	if !known || !a.hurries(r, t) {
+	if !known {
 		return nil, 0, false
 	}
 	type option struct {
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -128,12 +128,12 @@
 	}
 	now := time.Now()
 	shards, machines := a.mirror.Dir(statekv.ShardPrefix), a.mirror.Dir(statekv.MachinePrefix)
-	a.countZones(machines)
 	wanted := a.strayShards(shards, machines, hosts, now)
 	if len(wanted) == 0 {
 		wanted = a.evenOut(ctx, shards, machines, hosts, now)
 	}
-	held := a.takeShards(ctx, shards, wanted)
+	used := a.survey(machines)
+	held, empty := a.takeShards(ctx, shards, used, wanted)
 	home, latest, err := a.chooseHome(ctx, held)
 	if err != nil {
 		// If they were made after all, the mirror will show them.
@@ -152,14 +152,17 @@
 		a.shards[id] = h.rev
 	}
 	a.mu.Unlock()
-	a.sortOut(hosts, a.dropEmpty(ctx, held, home))
+	a.dropEmpty(ctx, held, home, used, empty)
+	a.sortOut(hosts, a.mirror.Dir(statekv.MachinePrefix))
 }
 
 // takeShards takes the shards that fall to this controller, and those wanted from
-// living owners, and returns all that it holds then.
-func (a *Agent) takeShards(ctx context.Context, shards []statekv.KV, wanted map[string]string) map[string]holding {
+// living owners, and returns all that it holds then. Those without machines it
+// leaves, to be removed later: after a crash of all controllers the state service's
+// limit is what the others wait for.
+func (a *Agent) takeShards(ctx context.Context, shards []statekv.KV, used map[string]bool, wanted map[string]string) (held map[string]holding, empty []statekv.Role) {
 	heirs := a.member.Heirs(a.settings.Hosts())
-	held := map[string]holding{}
+	held = map[string]holding{}
 	keys := map[string]*ShardKey{}
 	var roles []statekv.Role
 	for _, kv := range shards {
@@ -177,11 +180,16 @@
 		} else if a.member.Alive(key.Holder) || a.heir(key, heirs) != a.member.Host {
 			continue
 		}
+		role := statekv.Role{Key: kv.Key, Seen: kv.Rev, From: from, Value: ShardKey{Holder: a.member.Holder, Index: key.Index}}
+		if !used[kv.Key] {
+			empty = append(empty, role)
+			continue
+		}
 		keys[kv.Key] = key
-		roles = append(roles, statekv.Role{Key: kv.Key, Seen: kv.Rev, From: from, Value: ShardKey{Holder: a.member.Holder, Index: key.Index}})
+		roles = append(roles, role)
 	}
 	if len(roles) == 0 {
-		return held
+		return held, empty
 	}
 	tctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
@@ -194,7 +202,7 @@
 		held[id] = holding{rev, was.Index}
 		slog.Info("shard taken", "shard", id, "from", was.Host, "rev", rev, "why", wanted[key])
 	}
-	return held
+	return held, empty
 }
 
 // chooseHome picks, for each place in the list of home shards, a shard held that
@@ -217,6 +225,9 @@
 		if _, ok := held[home[k]]; ok {
 			continue
 		}
+		if home[k] = ""; !a.needsHome(k) {
+			continue
+		}
 		at := slices.IndexFunc(ids, func(id string) bool { return held[id].index%places == k })
 		if at >= 0 {
 			home[k] = ids[at]
@@ -246,6 +257,15 @@
 	return home, latest, nil
 }
 
+// needsHome reports whether new machines of place k's zone come here: those of
+// this controller's own zone, and of others once one has come.
+func (a *Agent) needsHome(k int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	zone := a.shardZone(k)
+	return a.homeless[k] || zone == a.settings.Zone || !slices.Contains(a.settings.Zones, a.settings.Zone)
+}
+
 // newShard names a shard for place k that this life has not made yet: one that
 // was taken from it keeps its name.
 func (a *Agent) newShard(k int) string {
@@ -279,35 +299,34 @@
 	return a.shards
 }
 
-// dropEmpty returns the keys of all machines, and removes the keys of shards
-// in which there are none any more and which take no new ones.
-func (a *Agent) dropEmpty(ctx context.Context, held map[string]holding, home []string) []statekv.KV {
-	keys := a.mirror.Dir(statekv.MachinePrefix)
-	if len(held) <= len(home) {
-		return keys
-	}
-	used := map[string]bool{}
-	for _, kv := range keys {
-		if key := KeyOf(kv); key != nil {
-			used[key.Shard] = true
-		}
-	}
+// dropEmpty removes the keys of shards in which there are no machines and which
+// take no new ones: of this controller, and of those whose life is over. What those
+// write late carries the condition that their life goes on. Should a machine have
+// been claimed into one unseen, it is claimed anew like any whose shard is lost.
+func (a *Agent) dropEmpty(ctx context.Context, held map[string]holding, home []string, used map[string]bool, empty []statekv.Role) {
 	var when []statekv.Cond
 	var then []statekv.Op
+	drop := func(key string, rev uint64) {
+		when = append(when, statekv.Cond{Key: key, Rev: rev})
+		then = append(then, statekv.Op{Delete: key})
+	}
 	for id, h := range held {
-		if !used[id] && !slices.Contains(home, id) && len(then) < mostDropped {
-			when = append(when, statekv.Cond{Key: statekv.ShardPrefix + id, Rev: h.rev})
-			then = append(then, statekv.Op{Delete: statekv.ShardPrefix + id})
+		if !used[statekv.ShardPrefix+id] && !slices.Contains(home, id) && len(then) < mostDropped {
+			drop(statekv.ShardPrefix+id, h.rev)
+		}
+	}
+	for _, r := range empty {
+		if len(then) < mostDropped {
+			drop(r.Key, r.Seen)
 		}
 	}
 	if len(then) == 0 || !a.store.Room(statekv.Chores, len(then)) {
-		return keys
+		return
 	}
 	tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	_, err := a.member.Write(tctx, when, then)
 	slog.Debug("empty shards removed", "shards", len(then), "err", err)
-	return keys
 }
 
 // mostDropped bounds the empty shards that are removed with one transaction.
@@ -322,31 +341,28 @@
 			delete(a.released, name)
 		}
 	}
-	a.mu.Unlock()
-	var ours []statekv.KV
+	var ours, ownerless []statekv.KV
 	for _, kv := range keys {
 		holder, rev := Owner(a.mirror, kv)
-		name := kv.Key[len(statekv.MachinePrefix):]
-		a.mu.Lock()
-		m := a.machines[name]
+		m := a.machines[kv.Key[len(statekv.MachinePrefix):]]
 		switch {
-		case holder == a.member.Holder:
-			if m != nil && rev > m.rev {
+		case holder == (statekv.Holder{}):
+			ownerless = append(ownerless, kv)
+		case holder == a.member.Holder && (m == nil || rev > m.rev):
+			if m != nil {
 				// It was another's in between: what we know of it is old.
 				a.release(m)
-				m = nil
-			}
-			if m == nil {
-				ours = append(ours, kv)
 			}
+			ours = append(ours, kv)
 		case m != nil && rev > m.rev:
 			a.release(m)
 		}
-		a.mu.Unlock()
-		if holder == (statekv.Holder{}) && hosts[hashOf(name)%len(hosts)] == a.member.Host {
-			if key := KeyOf(kv); key != nil {
-				a.claim(name, *key, kv.Rev)
-			}
+	}
+	a.mu.Unlock()
+	for _, kv := range ownerless {
+		name := kv.Key[len(statekv.MachinePrefix):]
+		if key := KeyOf(kv); key != nil && hosts[hashOf(name)%len(hosts)] == a.member.Host {
+			a.claim(name, *key, kv.Rev)
 		}
 	}
 	for _, kv := range ours {
@@ -372,7 +388,11 @@
 	if a.claiming[name] || len(a.home) == 0 {
 		return nil
 	}
-	key.Shard = a.home[a.homeFor(name, key.Zone)]
+	k := a.homeFor(name, key.Zone)
+	if key.Shard = a.home[k]; key.Shard == "" {
+		a.homeless[k] = true // it comes again
+		return nil
+	}
 	c := claim{name: name, key: key, seen: seen, done: make(chan struct{})}
 	select {
 	case a.claims <- c:
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -17,6 +17,7 @@
 	Share float64       // share of the owned machines to sample (the paper's N_p)
 	Least int           // and how many at least, if there are so many
 	Left  time.Duration // until the job's tasks should have started by the users' aim; 0: at once
+	Near  bool          // only machines that have the image
 	Spare int           // candidates to return beyond those that the tasks need
 }
 
--- a/agent/zone.go
+++ b/agent/zone.go
@@ -58,17 +58,24 @@
 	return in[hashOf(r.Machine)%len(in)]
 }
 
-// countZones takes note of how many machines each zone has.
-func (a *Agent) countZones(machines []statekv.KV) {
-	size := map[string]int{}
+// survey takes note of how many machines each zone has, and returns the keys of the
+// shards that have any.
+func (a *Agent) survey(machines []statekv.KV) (used map[string]bool) {
+	size, shards := map[string]int{}, map[string]bool{}
 	for _, kv := range machines {
 		if key := KeyOf(kv); key != nil {
 			size[key.Zone]++
+			shards[key.Shard] = true
 		}
 	}
+	used = map[string]bool{}
+	for id := range shards {
+		used[statekv.ShardPrefix+id] = true
+	}
 	a.mu.Lock()
 	a.zoneSize = size
 	a.mu.Unlock()
+	return used
 }
 
 // shardZone is the zone whose machines a shard is for.
--- a/placer/place.go
+++ b/placer/place.go
@@ -263,13 +263,10 @@
 	if !p.limitAllows(ctx, j, req.Epoch, n) {
 		return false
 	}
-	if !near {
+	if req.Near = near; !near {
 		req.Left = p.timeLeft(j)
 	}
 	options, _ := p.ask(ctx, "Agent.Clearable", req)
-	if near {
-		options = withImage(options, job.Gang)
-	}
 	rank(options)
 	chosen := chooseCleared(j.spec.OneZone, candidates, options, n)
 	if len(chosen) == 0 {
