Machines that were taken over do not wait for shards that could not be made

Change: places without a home shard stay empty until the next pass; removing an empty shard of an ended life carries the same conditions as taking it. Measured: the story takes the machine over within a second.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -54,7 +54,7 @@
 	return startWith(t, ctx, s, host, state, workers, setup...)
 }
 
-func startWith(t *testing.T, ctx context.Context, settings *config.Settings, host string, state *fakes.State, workers *fakes.Workers, setup ...func(*agent.Agent)) *node {
+func startWith(t *testing.T, ctx context.Context, settings *config.Settings, host string, state statekv.Store, workers *fakes.Workers, setup ...func(*agent.Agent)) *node {
 	t.Helper()
 	ctx, stop := context.WithCancel(ctx)
 	mirror := statekv.NewMirror(state, []string{statekv.FleetPrefix, job.OpenPrefix}, statekv.RootPrefix, settings.WatchTime(), 0, func([]statekv.Event) {})
--- a/agent/balance_test.go
+++ b/agent/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,3 +118,34 @@
 		}
 	})
 }
+
+// stingy is a state service that makes no new shards for now.
+type stingy struct{ *fakes.State }
+
+func (s stingy) Txn(ctx context.Context, when []statekv.Cond, then []statekv.Op) (uint64, error) {
+	for _, c := range when {
+		if c.Rev == 0 && strings.HasPrefix(c.Key, statekv.ShardPrefix) {
+			return 0, statekv.ErrRefused
+		}
+	}
+	return s.State.Txn(ctx, when, then)
+}
+
+// After a crash of all controllers the state service's write limit keeps a life
+// from making shards for new machines for a second or two. The machines that it
+// took over had to wait for that: all slots settled 3 s later.
+func TestMachinesTakenOverDoNotWaitForNewShards(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		a := start(t, ctx, "host-0", state, workers)
+		fleet(workers, a, 1)
+		a.stop()
+		if err := state.Revoke(ctx, 1); err != nil {
+			t.Fatal(err)
+		}
+		b := startWith(t, ctx, settings(), "host-0", stingy{state}, workers)
+		time.Sleep(time.Second)
+		if e, ok := b.entries()["m0"]; !ok || !e.Settled {
+			t.Fatalf("not taken over: %+v", e)
+		}
+	})
+}
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -134,12 +134,7 @@
 	}
 	used := a.survey(machines)
 	held, empty := a.takeShards(ctx, shards, used, wanted)
-	home, latest, err := a.chooseHome(ctx, held)
-	if err != nil {
-		// If they were made after all, the mirror will show them.
-		slog.Debug("making shards", "err", err)
-		return
-	}
+	home, latest := a.chooseHome(ctx, held)
 	// What an earlier owner claimed last is in the mirror by then.
 	wctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
@@ -181,7 +176,7 @@
 			continue
 		}
 		role := statekv.Role{Key: kv.Key, Seen: kv.Rev, From: from, Value: ShardKey{Holder: a.member.Holder, Index: key.Index}}
-		if !used[kv.Key] {
+		if !used[kv.Key] && wanted[kv.Key] == "" {
 			empty = append(empty, role)
 			continue
 		}
@@ -208,8 +203,9 @@
 // chooseHome picks, for each place in the list of home shards, a shard held that
 // takes new machines: the one that did, else one of the same place that was taken
 // over, so that there are no more shards after many failures than before. Where
-// there is none it makes one. It returns the latest revision among all held.
-func (a *Agent) chooseHome(ctx context.Context, held map[string]holding) (home []string, latest uint64, err error) {
+// there is none it makes one; places for which that failed stay empty until the next
+// time. It returns the latest revision among all held.
+func (a *Agent) chooseHome(ctx context.Context, held map[string]holding) (home []string, latest uint64) {
 	places := ownShards * max(1, len(a.settings.Zones))
 	a.mu.Lock()
 	home = slices.Clone(a.home)
@@ -244,17 +240,22 @@
 		tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 		defer cancel()
 		rev, err := a.member.Write(tctx, when, then)
-		if err != nil {
-			return nil, 0, err
-		}
 		for _, k := range made {
+			if err != nil {
+				home[k] = "" // if it was made after all, the mirror will show it
+				continue
+			}
 			held[home[k]] = holding{rev, k}
 		}
+		if err != nil {
+			// What was taken over must not wait for this.
+			slog.Debug("making shards", "err", err)
+		}
 	}
 	for _, h := range held {
 		latest = max(latest, h.rev)
 	}
-	return home, latest, nil
+	return home, latest
 }
 
 // needsHome reports whether new machines of place k's zone come here: those of
@@ -300,25 +301,21 @@
 }
 
 // dropEmpty removes the keys of shards in which there are no machines and which
-// take no new ones: of this controller, and of those whose life is over. What those
-// write late carries the condition that their life goes on. Should a machine have
-// been claimed into one unseen, it is claimed anew like any whose shard is lost.
+// take no new ones: of this controller, and of those whose life the state service
+// too has over; what these write late carries the condition that it goes on. Should a
+// machine have been claimed into one unseen, it is claimed anew like any whose shard
+// is lost.
 func (a *Agent) dropEmpty(ctx context.Context, held map[string]holding, home []string, used map[string]bool, empty []statekv.Role) {
 	var when []statekv.Cond
 	var then []statekv.Op
-	drop := func(key string, rev uint64) {
-		when = append(when, statekv.Cond{Key: key, Rev: rev})
-		then = append(then, statekv.Op{Delete: key})
-	}
 	for id, h := range held {
-		if !used[statekv.ShardPrefix+id] && !slices.Contains(home, id) && len(then) < mostDropped {
-			drop(statekv.ShardPrefix+id, h.rev)
+		if !used[statekv.ShardPrefix+id] && !slices.Contains(home, id) {
+			empty = append(empty, statekv.Role{Key: statekv.ShardPrefix + id, Seen: h.rev})
 		}
 	}
-	for _, r := range empty {
-		if len(then) < mostDropped {
-			drop(r.Key, r.Seen)
-		}
+	for _, r := range empty[:min(mostDropped, len(empty))] {
+		when = append(when, a.member.Conds(r)...)
+		then = append(then, statekv.Op{Delete: r.Key})
 	}
 	if len(then) == 0 || !a.store.Room(statekv.Chores, len(then)) {
 		return
--- a/statekv/member.go
+++ b/statekv/member.go
@@ -162,9 +162,9 @@
 	return m.store.Txn(ctx, append([]Cond{m.Cond()}, when...), then)
 }
 
-// conds is what has to hold for r to be taken: nobody was faster, and the state
-// service too has the earlier holder's life over, whatever the mirror shows.
-func (m *Member) conds(r Role) []Cond {
+// Conds is what has to hold for r to be taken or removed: nobody was faster, and the
+// state service too has the earlier holder's life over, whatever the mirror shows.
+func (m *Member) Conds(r Role) []Cond {
 	when := []Cond{{Key: r.Key, Rev: r.Seen}}
 	if r.From.Host != "" && r.From.Host != m.Host {
 		later, _ := m.mirror.Get(NodePrefix + r.From.Host)
@@ -177,7 +177,7 @@
 // new revision, which fences off earlier holders. If an answer is lost, the next
 // try meets its own write and recognises it.
 func (m *Member) Take(ctx context.Context, r Role) (uint64, error) {
-	rev, err := m.Write(ctx, m.conds(r), []Op{{Set: r.Key, Value: r.Value}})
+	rev, err := m.Write(ctx, m.Conds(r), []Op{{Set: r.Key, Value: r.Value}})
 	if !IsConflict(err) {
 		return rev, err
 	}
@@ -207,7 +207,7 @@
 			var when []Cond
 			var then []Op
 			for _, r := range group {
-				for _, c := range m.conds(r) {
+				for _, c := range m.Conds(r) {
 					if !slices.Contains(when, c) {
 						when = append(when, c)
 					}
