--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -131,3 +131,23 @@
 		}
 	})
 }
+
+// One GPU for a hundred seconds, and a long job that was served first although it
+// could not make its deadline: the two short ones behind it could have.
+func TestAnotherOrderKeepsMoreDeadlines(t *testing.T) {
+	accepted := func(id string, due int) string {
+		return line(0, `msg="job accepted" job=%s class=read tasks=1 gpus=1 due_s=%d`, id, due)
+	}
+	over := func(end, run int, id string) string {
+		return line(time.Duration(end)*time.Second, `msg="task over" task=%s/0 machine=m1 cause=done saved=false cpus=1 gpus=1 mem_gb=1 fetch_s=0 wait_s=0 run_s=%d save_s=0 saves_every_s=0`, id, run)
+	}
+	log := line(0, reef) + accepted("wk-1", 50) + accepted("wk-2", 40) + accepted("wk-3", 40) + accepted("wk-4", 0) +
+		over(60, 60, "wk-1") + over(80, 20, "wk-2") + over(100, 20, "wk-3")
+	got := read(t, log).Orders()
+	if want := (Order{Class: "read", Jobs: 3, Kept: 0, Could: 2}); len(got) != 1 || got[0] != want {
+		t.Fatalf("%+v, want %+v", got, want)
+	}
+	if got := read(t, line(0, reef)).Orders(); got != nil {
+		t.Fatalf("without jobs: %+v", got)
+	}
+}
--- a/audit/read.go
+++ b/audit/read.go
@@ -31,6 +31,7 @@
 
 // span is what one attempt at a task did on a machine, as one owner saw it.
 type span struct {
+	job    string
 	end    time.Time
 	spent  [phases]time.Duration
 	need   map[string]float64 // cpus, gpus, mem_gb
@@ -67,6 +68,7 @@
 	machines    map[string]*machine
 	prices      map[string][]price
 	capacity    map[string]map[string]float64
+	jobs        map[string]*submission
 	first, last time.Time
 
 	Lines    int       // lines of controllers that were read
@@ -81,7 +83,7 @@
 // or without something before the time in each line. Lines that are cut are listed
 // as problems, and the rest is used. The error is the reader's, if any.
 func Read(r io.Reader) (*Log, error) {
-	l := &Log{machines: map[string]*machine{}, prices: map[string][]price{}, capacity: map[string]map[string]float64{}}
+	l := &Log{machines: map[string]*machine{}, prices: map[string][]price{}, jobs: map[string]*submission{}, capacity: map[string]map[string]float64{}}
 	in := bufio.NewReaderSize(r, longestLine)
 	for n := 1; ; n++ {
 		line, err := in.ReadSlice('\n')
@@ -217,11 +219,13 @@
 				m.gone = at
 			}
 		}
+	case "job accepted":
+		return l.accepted(at, f)
 	case "machine is silent":
 		l.machine(f["machine"]).silent = at.Add(-v.seconds("for_s"))
 		return v.err
 	case "task over":
-		s := span{end: at, need: map[string]float64{"cpus": v.number("cpus"), "gpus": v.number("gpus"), "mem_gb": v.number("mem_gb")}}
+		s := span{job: jobOf(f["task"]), end: at, need: map[string]float64{"cpus": v.number("cpus"), "gpus": v.number("gpus"), "mem_gb": v.number("mem_gb")}}
 		for k, key := range [phases]string{"fetch_s", "wait_s", "run_s", "save_s"} {
 			s.spent[k] = v.seconds(key)
 		}
@@ -231,6 +235,7 @@
 		}
 		m := l.machine(f["machine"])
 		m.spans = append(m.spans, s)
+		l.ran(&s, f["cause"])
 	}
 	return nil
 }
--- a/cmd/robinstack/audit.go
+++ b/cmd/robinstack/audit.go
@@ -16,7 +16,7 @@
 
 func auditCommand() *cobra.Command {
 	var charged float64
-	var asJSON bool
+	var asJSON, orders bool
 	cmd := &cobra.Command{
 		Use: "audit LOG...", Short: "Split what the machines cost by what they did", Args: cobra.MinimumNArgs(1),
 		Long: "audit reads the logs of all controllers (- for standard input) and splits the money spent on machines by what they did with their time. Lines that are cut are named, and the rest is used.",
@@ -44,11 +44,15 @@
 			if asJSON {
 				return json.NewEncoder(cmd.OutOrStdout()).Encode(bill)
 			}
-			return bill.Print(cmd.OutOrStdout(), charged)
+			if err := bill.Print(cmd.OutOrStdout(), charged); err != nil || !orders {
+				return err
+			}
+			return audit.PrintOrders(cmd.OutOrStdout(), l.Orders())
 		},
 	}
 	cmd.Flags().Float64Var(&charged, "charged", 0, "what the cloud charged, to set against the sum of the parts")
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print as JSON")
+	cmd.Flags().BoolVar(&orders, "orders", false, "also work out how many deadlines another order could have kept")
 	return cmd
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -301,7 +301,7 @@
 	if err == nil {
 		l.Placer.Accepted(rec, rev)
 		l.Clock.Mark(serving.Accepted)
-		slog.Info("job accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks, "slot", slot)
+		slog.Info("job accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks, "gpus", spec.GPUs, "due_s", spec.Due().Seconds(), "slot", slot)
 		return c.Status(fiber.StatusCreated).JSON(jobStatus{ID: spec.ID, Status: job.Queued})
 	}
 	if errors.Is(err, statekv.ErrRefused) {
--- a/job/job.go
+++ b/job/job.go
@@ -97,6 +97,14 @@
 // Save is the time a task needs to save when it is stopped.
 func (s *Spec) Save() time.Duration { return config.Seconds(s.SaveS) }
 
+// Due is the time from the submission to the job's deadline, or 0 without one.
+func (s *Spec) Due() time.Duration {
+	if s.DeadlineS == nil {
+		return 0
+	}
+	return config.Seconds(*s.DeadlineS)
+}
+
 // Saves reports whether the job's tasks can save their progress.
 func (s *Spec) Saves() bool { return s.CheckpointS > 0 }
 
--- a/steward/boots.go
+++ b/steward/boots.go
@@ -16,19 +16,34 @@
 // few come is tried but not counted on.
 type bootWatch struct {
 	took map[pool][]time.Duration
+	came map[pool][]time.Time // when machines came up, for as long as that counts
 }
 
 // bootMemory is how many boots of a pool are remembered.
 const bootMemory = 20
 
-func (w *bootWatch) note(p pool, d time.Duration) {
+func (w *bootWatch) note(p pool, d time.Duration, now time.Time) {
 	if w.took == nil {
-		w.took = map[pool][]time.Duration{}
+		w.took, w.came = map[pool][]time.Duration{}, map[pool][]time.Time{}
 	}
+	w.came[p] = append(w.came[p], now)
 	list := append(w.took[p], d)
 	w.took[p] = list[max(0, len(list)-bootMemory):]
 }
 
+// lately is for how long machines that came up speak for their pool.
+const lately = time.Minute
+
+// cameLately counts the machines of a pool that came up lately: where many did, the
+// last few that have not are stragglers and not a pool from which few come.
+func (w *bootWatch) cameLately(p pool, now time.Time) int {
+	if w.came == nil {
+		return 0
+	}
+	w.came[p] = slices.DeleteFunc(w.came[p], func(at time.Time) bool { return now.Sub(at) > lately })
+	return len(w.came[p])
+}
+
 // patience is the age from which on a boot in the pool is overdue: where most
 // are slow, that is nothing special.
 func (w *bootWatch) patience(p pool, nominal time.Duration) time.Duration {
@@ -54,9 +69,9 @@
 	return most
 }
 
-// troubled reports whether so much of what boots in a pool is overdue that no
-// more than a probe should be asked for there.
-func troubled(booting, overdue int) bool { return overdue >= 3 && 2*overdue >= booting }
+// troubled reports whether so much of what boots in a pool, or came up lately, is
+// overdue that no more than a probe should be asked for there.
+func troubled(booting, came, overdue int) bool { return overdue >= 3 && 2*overdue >= booting+came }
 
 // bootingBins returns the machines that boot, as far as they can be counted on,
 // and adds those that are given up to deletes. The mutex is held.
@@ -75,10 +90,14 @@
 			overdue[b.pool]++
 		}
 	}
+	came := map[pool]int{}
+	for p := range overdue {
+		came[p] = f.boots.cameLately(p, now)
+	}
 	var bins []*bin
 	for name, b := range f.booting {
 		t, age := types[b.typeName], now.Sub(b.since)
-		slow := troubled(inBoot[b.pool], overdue[b.pool])
+		slow := troubled(inBoot[b.pool], came[b.pool], overdue[b.pool])
 		switch {
 		case age > f.boots.giveUp(b.pool, t.Boot(), slow):
 			slog.Info("boot is too late", "machine", name, "age", age.Round(time.Second))
@@ -90,7 +109,7 @@
 		}
 	}
 	for p, n := range overdue {
-		if troubled(inBoot[p], n) && now.After(f.shut[p]) {
+		if troubled(inBoot[p], came[p], n) && now.After(f.shut[p]) {
 			f.refuse(p, now)
 			slog.Info("machines do not come up", "type", p.typeName, "zone", p.zone, "spot", p.spot, "booting", inBoot[p], "overdue", n)
 		}
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -149,7 +149,7 @@
 func (f *fleet) cameUp(name string, now time.Time) {
 	if b, ok := f.booting[name]; ok {
 		if b.ours {
-			f.boots.note(b.pool, now.Sub(b.since))
+			f.boots.note(b.pool, now.Sub(b.since), now)
 		}
 		delete(f.booting, name)
 	}
