Gangs are patient only where a fetch begun now would not meet their aim anyway

Change: the slack is that of the tightest aim a fetch begun now would probably meet; machines with the image are cleared only if that loses less GPU time than the fetch.

--- a/placer/patience.go
+++ b/placer/patience.go
@@ -19,8 +19,10 @@
 	gangPatience = 0.4
 	// patientGangs is the size up to which gangs wait for machines that all have the image.
 	patientGangs = 4
-	// fetchDoubt is how much longer than its rate says a fetch may take.
-	fetchDoubt = 1.3
+	// fetchDoubt is how much longer than its rate says the slowest of a gang's
+	// fetches may take, and assembly what passes besides until it runs.
+	fetchDoubt = 1.4
+	assembly   = 3 * time.Second
 	// coldDoubt is that where it would be a pity rather than a loss.
 	coldDoubt = 1.15
 	// clearing is about how long it takes until cleared machines are free.
@@ -38,7 +40,7 @@
 		if n > patientGangs {
 			return false
 		}
-		slack = p.aimSlack(j, time.Duration(fetchDoubt*float64(fetch)))
+		slack = p.aimSlack(j, fetch)
 		most = min(time.Duration(gangPatience*float64(fetch)), slack)
 	} else if !scarce {
 		return false
@@ -56,8 +58,7 @@
 
 // coldIsLate reports whether a gang that has to fetch its image would start too
 // late by the tightest of the users' aims for its class, and one for which
-// machines with the image are cleared would not. To clear them costs about what
-// the fetch costs, in time of all the machines' GPUs.
+// machines with the image are cleared would not.
 func (p *Placer) coldIsLate(j *jobState) bool {
 	left := p.timeLeft(j)
 	return left > clearing && left < time.Duration(coldDoubt*float64(p.fetchTime(j.spec)))
@@ -75,15 +76,16 @@
 	return time.Duration(slowest * float64(time.Second))
 }
 
-// aimSlack is how long a job may wait and still start by the tightest of the users'
-// aims for its class that it can meet if it has to fetch its image then.
+// aimSlack is how long a gang that has to fetch its image may wait and still start
+// by the tightest of the users' aims for its class that it would probably meet if it
+// began to fetch now; 0 if waiting would put that at risk.
 func (p *Placer) aimSlack(j *jobState, fetch time.Duration) time.Duration {
 	age := time.Since(j.submitted)
-	slack := time.Duration(0)
+	tightest := time.Duration(0)
 	for _, o := range p.settings.Objectives {
-		if left := o.Within - age - fetch; o.Kind == "wait" && o.Class == j.spec.Class && left > 0 && (slack == 0 || left < slack) {
-			slack = left
+		if left := o.Within - age; o.Kind == "wait" && o.Class == j.spec.Class && left >= fetch && (tightest == 0 || left < tightest) {
+			tightest = left
 		}
 	}
-	return slack
+	return max(0, tightest-time.Duration(fetchDoubt*float64(fetch))-assembly)
 }
--- a/placer/place.go
+++ b/placer/place.go
@@ -267,6 +267,11 @@
 		req.Left = p.timeLeft(j)
 	}
 	options, _ := p.ask(ctx, "Agent.Clearable", req)
+	if near {
+		// Where tasks do not save, stopping them may lose more than a fetch takes.
+		fetch := p.fetchTime(j.spec).Seconds() * max(1, j.spec.GPUs)
+		options = slices.DeleteFunc(options, func(c agent.Candidate) bool { return -c.Score > fetch })
+	}
 	rank(options)
 	chosen := chooseCleared(j.spec.OneZone, candidates, options, n)
 	if len(chosen) == 0 {
