Where room is scarce, arrays are placed one after the other

Change: jobs that need the same GPUs pause together, and while draws see all machines one array of them is placed at a time.

--- a/placer/place.go
+++ b/placer/place.go
@@ -34,8 +34,23 @@
 	team    string
 }
 
-// shape is shared by all jobs with the same key.
-type shape struct{ fullTill time.Time }
+// shape is shared by all jobs with the same key. While room for it is scarce they are
+// placed one after the other and pause together: side by side all would get some of
+// what comes free, and as a job is done with its last task, few would be done in time.
+type shape struct {
+	fullTill   time.Time // none of them found room
+	scarceTill time.Time // a draw saw all machines lately
+	placing    int       // placements at work
+}
+
+// scarceFor is for how long room counts as scarce after a draw that saw all machines.
+const scarceFor = 2 * time.Second
+
+// waitsItsTurn reports whether an array has to wait for another job of its shape to
+// be placed. The mutex is held.
+func (j *jobState) waitsItsTurn(now time.Time) bool {
+	return j.spec.Shape == job.Array && j.shape.placing > 0 && now.Before(j.shape.scarceTill)
+}
 
 // shapeOf returns the shape of a job's tasks. The mutex is held.
 func (p *Placer) shapeOf(s *job.Spec) *shape {
@@ -57,7 +72,11 @@
 }
 
 func keyOf(s *job.Spec) shapeKey {
-	k := shapeKey{need: s.Need, spot: s.Spot, oneZone: s.OneZone, team: s.Team}
+	need := s.Need
+	if need.GPUs > 0 {
+		need.CPUs, need.MemoryGB = 0, 0 // GPUs are what runs out
+	}
+	k := shapeKey{need: need, spot: s.Spot, oneZone: s.OneZone, team: s.Team}
 	if s.Shape == job.Gang {
 		k.tasks = s.Tasks
 	}
@@ -105,7 +124,11 @@
 		if p.workers >= maxPlacements {
 			break
 		}
+		if it.j.waitsItsTurn(now) {
+			continue
+		}
 		it.j.busy = true
+		it.j.shape.placing++
 		p.workers++
 		go p.place(ctx, it.j)
 	}
@@ -125,6 +148,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.workers--
+	j.shape.placing--
 	j.busy = false
 	if full {
 		retry := now.Add(p.policy.RetryAfter)
@@ -168,6 +192,11 @@
 	p.mu.Unlock()
 
 	candidates, scarce := p.sample(ctx, req)
+	if scarce {
+		p.mu.Lock()
+		j.shape.scarceTill = time.Now().Add(scarceFor)
+		p.mu.Unlock()
+	}
 	rank(candidates)
 	patient := false
 	if near := withImage(candidates, spec.Shape); len(near) < len(candidates) && p.patient(j, len(indices), scarce) {
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -624,3 +624,30 @@
 		}
 	})
 }
+
+// Jobs whose needs differed a little paused each for itself, and took in turns what
+// came free: all got some places, and few were done by their deadlines.
+func TestScarceRoomGoesToTheFirstInTheQueue(t *testing.T) {
+	story(t, func(w *world) {
+		n := w.start("host-0")
+		w.run(3 * time.Second)
+		w.submit(n, spec("wk-1", job.Array, 4, 1))
+		w.run(4 * time.Second)
+		second := spec("wk-3", job.Array, 3, 1)
+		second.CPUs = 2
+		w.submit(n, spec("wk-2", job.Array, 3, 1))
+		time.Sleep(400 * time.Millisecond)
+		w.submit(n, second)
+		for k := range 3 {
+			time.Sleep(800 * time.Millisecond)
+			for _, box := range w.boxes {
+				w.workers.End(box, job.TaskID("wk-1", k), worker.Done)
+			}
+			w.run(2 * time.Second)
+		}
+		w.run(3 * time.Second)
+		if a, b := w.startsOf("wk-2"), w.startsOf("wk-3"); a != 3 || b != 0 {
+			t.Fatalf("%d of 3 tasks of the first started, %d of the second", a, b)
+		}
+	})
+}
