--- a/agent/agent.go
+++ b/agent/agent.go
@@ -47,6 +47,7 @@
 	sent     map[string]time.Time
 	zoneSize map[string]int // machines of the fleet, by zone
 	rooms    *rooms         // the machines by what is free on them
+	sharing  sharing        // what fetches side by side cost
 	ver      uint64
 	changed  chan struct{}
 	counters Counters
@@ -235,6 +236,7 @@
 		return Reply{}, true
 	}
 	if m.apply(r, now, 0) {
+		m.follow(now, a.types()[m.typeName], &a.sharing)
 		a.touch(m)
 		a.wantLearning(m)
 	}
@@ -416,7 +418,8 @@
 	if executed {
 		proof = token
 	}
-	if m.apply(report, time.Now(), proof) {
+	if now := time.Now(); m.apply(report, now, proof) {
+		m.follow(now, a.types()[m.typeName], &a.sharing)
 		a.touch(m)
 		a.wantLearning(m)
 	} else if executed {
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -73,6 +73,8 @@
 	seq       uint64
 	tasks     map[taskKey]*task
 	images    map[string]time.Time
+	fetches   map[string]*fetch // by image
+	fetchesAt time.Time         // up to when they were followed
 	settled   bool
 	draining  bool
 	removing  bool
--- a/agent/sample.go
+++ b/agent/sample.go
@@ -78,6 +78,10 @@
 		if n == 0 || a.unfit(m, &r, now) != "" {
 			continue
 		}
+		if a.crowded(m, &r) {
+			reply.Crowded = true
+			continue
+		}
 		room.add(m.zone, n)
 		image := m.imageState(r.Spec.Image)
 		kept := 0.0
--- a/agent/service.go
+++ b/agent/service.go
@@ -64,6 +64,11 @@
 				a.counters.Conflicts++
 				continue
 			}
+			if a.crowded(m, &r.Request) {
+				reply.Why = "machine fetches other images"
+				a.counters.Conflicts++
+				continue
+			}
 			spec := r.Spec
 			t = &task{ref: ref, id: key.id, slot: r.Slot, spec: &spec, submitted: now.Add(-r.Age), state: stateHeld}
 			m.put(key, t)
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -38,6 +38,7 @@
 	Candidates []Candidate
 	Drawn      int
 	Exhausted  bool // every owned machine was drawn without finding enough
+	Crowded    bool // some with room fetch other images
 }
 
 // TaskRef names one attempt at a task.
--- a/placer/place.go
+++ b/placer/place.go
@@ -191,7 +191,8 @@
 		Share: p.policy.SampleMachines, Least: p.policy.SampleLeast, Spare: p.policy.MultiBind, Zones: openZones(spec, others, p.settings.Zones)}
 	p.mu.Unlock()
 
-	candidates, scarce := p.sample(ctx, req)
+	found := p.sample(ctx, req)
+	candidates, scarce := found.candidates, found.scarce
 	if scarce {
 		p.mu.Lock()
 		j.shape.scarceTill = time.Now().Add(scarceFor)
@@ -235,6 +236,16 @@
 	if spec.Shape == job.Gang && len(lists) < len(indices) && p.clearRoom(ctx, j, req, candidates, len(indices), false) {
 		return false
 	}
+	if found.crowded && len(lists) < len(indices) && spec.Shape != job.Gang {
+		// There is room, but not for its image: jobs with others may take it.
+		p.mu.Lock()
+		j.nextTry = time.Now().Add(p.policy.RetryAfter)
+		p.mu.Unlock()
+		patient = true
+		if len(lists) == 0 {
+			return false
+		}
+	}
 	if len(lists) == 0 || spec.Shape == job.Gang && len(lists) < len(indices) {
 		return true
 	}
@@ -295,7 +306,7 @@
 	if req.Near = near; !near {
 		req.Left = p.timeLeft(j)
 	}
-	options, _ := p.ask(ctx, "Agent.Clearable", req)
+	options := p.ask(ctx, "Agent.Clearable", req).candidates
 	if near {
 		// Where tasks do not save, stopping them may lose more than a fetch takes.
 		fetch := p.fetchTime(j.spec).Seconds() * max(1, j.spec.GPUs)
@@ -373,17 +384,23 @@
 	return out
 }
 
-// sample asks a random share of the controllers for eligible machines, and reports
-// whether room is scarce: all that were asked looked at every machine they own.
-func (p *Placer) sample(ctx context.Context, req agent.Request) (found []agent.Candidate, scarce bool) {
+// drawn is what the controllers that were asked have found.
+type drawn struct {
+	candidates []agent.Candidate
+	scarce     bool // all of them looked at every machine they own
+	crowded    bool // there is room on machines that fetch other images
+}
+
+// sample asks a random share of the controllers for eligible machines.
+func (p *Placer) sample(ctx context.Context, req agent.Request) drawn {
 	return p.ask(ctx, "Agent.Sample", req)
 }
 
-func (p *Placer) ask(ctx context.Context, method string, req agent.Request) (all []agent.Candidate, exhausted bool) {
+func (p *Placer) ask(ctx context.Context, method string, req agent.Request) drawn {
 	hosts := pickHosts(p.member.AliveHosts(), p.policy.SampleControllers, shuffle)
 	var mu sync.Mutex
 	var asks sync.WaitGroup
-	exhausted = true
+	all := drawn{scarce: true}
 	cctx, cancel := context.WithTimeout(ctx, p.policy.SampleTimeout)
 	defer cancel()
 	for _, h := range hosts {
@@ -395,15 +412,16 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			all = append(all, reply.Candidates...)
-			exhausted = exhausted && reply.Exhausted
+			all.candidates = append(all.candidates, reply.Candidates...)
+			all.scarce = all.scarce && reply.Exhausted
+			all.crowded = all.crowded || reply.Crowded
 		})
 	}
 	asks.Wait()
 	p.mu.Lock()
 	p.counters.Samples += uint64(len(hosts))
 	p.mu.Unlock()
-	return all, exhausted
+	return all
 }
 
 // begin numbers new attempts, never used before for the job.
