Agent, steward: passes over all machines do not look up or sort for each of them

Cause: with 3,700 machines on kuopio's three controllers the passes over the machines' keys took 6.6% of their processor time and the ages of boots 2.3% of the steward's: a shard's key was put together and looked up for each machine, and a pool's boots sorted for each that boots.

--- a/agent/balance.go
+++ b/agent/balance.go
@@ -100,15 +100,17 @@
 		if key == nil {
 			continue
 		}
-		shard := statekv.ShardPrefix + key.Shard
-		size[shard]++
+		size[key.Shard]++
 		v, ok := a.visits[kv.Key[len(statekv.MachinePrefix):]]
-		if _, rev := Owner(a.mirror, kv); !ok || v.count < 2 || v.rev != rev {
+		if !ok || v.count < 2 {
 			continue
 		}
-		came[shard]++
-		if at := first[shard]; at.IsZero() || v.first.Before(at) {
-			first[shard] = v.first
+		if _, rev := Owner(a.mirror, kv); v.rev != rev {
+			continue
+		}
+		came[key.Shard]++
+		if at := first[key.Shard]; at.IsZero() || v.first.Before(at) {
+			first[key.Shard] = v.first
 		}
 	}
 	var out map[string]string
@@ -122,7 +124,8 @@
 		if a.heir(key, others) == a.member.Host {
 			doubt = 0
 		}
-		if came[kv.Key] >= max(3, (size[kv.Key]+3)/4) && now.Sub(first[kv.Key]) >= doubt {
+		id := kv.Key[len(statekv.ShardPrefix):]
+		if came[id] >= max(3, (size[id]+3)/4) && now.Sub(first[id]) >= doubt {
 			if out == nil {
 				out = map[string]string{}
 			}
@@ -151,16 +154,16 @@
 	if !quiet || len(machines) < fewest*len(hosts) {
 		return nil
 	}
-	inShard := map[string][]statekv.KV{}
+	size := map[string]int{}
 	for _, kv := range machines {
 		if key := KeyOf(kv); key != nil {
-			inShard[statekv.ShardPrefix+key.Shard] = append(inShard[statekv.ShardPrefix+key.Shard], kv)
+			size[key.Shard]++
 		}
 	}
 	owned := map[string]int{}
 	for _, kv := range shards {
 		if key := parsed[ShardKey](kv); key != nil && a.member.Alive(key.Holder) {
-			owned[key.Host] += len(inShard[kv.Key])
+			owned[key.Host] += size[kv.Key[len(statekv.ShardPrefix):]]
 		}
 	}
 	richest, poorest := "", ""
@@ -177,6 +180,12 @@
 	if poorest != a.member.Host || mine > mean/4 {
 		return nil
 	}
+	inShard := map[string][]statekv.KV{}
+	for _, kv := range machines {
+		if key := KeyOf(kv); key != nil {
+			inShard[statekv.ShardPrefix+key.Shard] = append(inShard[statekv.ShardPrefix+key.Shard], kv)
+		}
+	}
 	out := map[string]string{}
 	var sample []statekv.KV
 	// Those of this controller's own zone first.
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -83,6 +83,28 @@
 	return holderOf(shard), max(kv.Rev, shard.Rev)
 }
 
+// owners are the shards' holders by id, for those who look through all machines.
+type owners map[string]ownership
+
+type ownership struct {
+	holder statekv.Holder
+	rev    uint64
+}
+
+func ownersOf(shards []statekv.KV) owners {
+	o := make(owners, len(shards))
+	for _, kv := range shards {
+		o[kv.Key[len(statekv.ShardPrefix):]] = ownership{holderOf(kv), kv.Rev}
+	}
+	return o
+}
+
+// of is Owner for a machine's key that has been read.
+func (o owners) of(key *MachineKey, rev uint64) (statekv.Holder, uint64) {
+	shard := o[key.Shard]
+	return shard.holder, max(rev, shard.rev)
+}
+
 func hashOf(name string) int {
 	h := fnv.New32a()
 	h.Write([]byte(name))
@@ -148,7 +170,9 @@
 	}
 	a.mu.Unlock()
 	a.dropEmpty(ctx, held, home, used, empty)
-	a.sortOut(hosts, a.mirror.Dir(statekv.MachinePrefix))
+	// Machines first: whoever is in a shard that came since belongs to its owner.
+	machines = a.mirror.Dir(statekv.MachinePrefix)
+	a.sortOut(hosts, machines, ownersOf(a.mirror.Dir(statekv.ShardPrefix)))
 }
 
 // takeShards takes the shards that fall to this controller, and those wanted from
@@ -331,7 +355,7 @@
 
 // sortOut takes up the machines that are ours by their keys, gives up those that
 // are not any more, and claims those whose shard has been lost.
-func (a *Agent) sortOut(hosts []string, keys []statekv.KV) {
+func (a *Agent) sortOut(hosts []string, keys []statekv.KV, shards owners) {
 	a.mu.Lock()
 	for name := range a.released {
 		if _, ok := a.mirror.Get(statekv.MachinePrefix + name); !ok {
@@ -340,7 +364,12 @@
 	}
 	var ours, ownerless []statekv.KV
 	for _, kv := range keys {
-		holder, rev := Owner(a.mirror, kv)
+		key := KeyOf(kv)
+		if key == nil {
+			ownerless = append(ownerless, kv)
+			continue
+		}
+		holder, rev := shards.of(key, kv.Rev)
 		m := a.machines[kv.Key[len(statekv.MachinePrefix):]]
 		switch {
 		case holder == (statekv.Holder{}):
--- a/steward/boots.go
+++ b/steward/boots.go
@@ -78,6 +78,7 @@
 func (s *Steward) bootingBins(types map[string]cloud.MachineType, now time.Time, deletes *[]string) []*bin {
 	f := &s.fleet
 	inBoot, overdue := map[pool]int{}, map[pool]int{}
+	patience := map[pool]time.Duration{}
 	for name, b := range f.booting {
 		if _, owned := s.mirror.Get(statekv.MachinePrefix + name); owned {
 			// It is up; its owner's entry just has not come yet. To a new
@@ -86,7 +87,10 @@
 			continue
 		}
 		inBoot[b.pool]++
-		if now.Sub(b.since) > f.boots.patience(b.pool, types[b.typeName].Boot()) {
+		if _, known := patience[b.pool]; !known {
+			patience[b.pool] = f.boots.patience(b.pool, types[b.typeName].Boot())
+		}
+		if now.Sub(b.since) > patience[b.pool] {
 			overdue[b.pool]++
 		}
 	}
@@ -102,7 +106,7 @@
 		case age > f.boots.giveUp(b.pool, t.Boot(), slow):
 			slog.Info("boot is too late", "machine", name, "age", age.Round(time.Second))
 			*deletes = append(*deletes, name)
-		case age > f.boots.patience(b.pool, t.Boot()) && !slow:
+		case age > patience[b.pool] && !slow:
 			// Used if it comes, but made up for.
 		default:
 			bins = append(bins, &bin{name: name, typeName: b.typeName, zone: b.zone, spot: b.spot, free: job.Capacity(t), empty: true})
