--- a/agent/clear.go
+++ b/agent/clear.go
@@ -116,7 +116,10 @@
 	if t.state == worker.Running {
 		rest = max(0, rest-now.Sub(t.runningAt))
 	}
-	for k, limit := range a.settings.Limits(t.spec.Class, t.spec.DeadlineS) {
+	if t.limits == nil {
+		t.limits = a.settings.Limits(t.spec.Class, t.spec.DeadlineS)
+	}
+	for k, limit := range t.limits {
 		switch slack := limit - now.Sub(t.submitted) - rest; {
 		case slack > again:
 			return 0
--- a/agent/learn.go
+++ b/agent/learn.go
@@ -115,7 +115,7 @@
 				t.stop, t.forget = true, true
 				t.spec = &job.Spec{}
 			} else {
-				t.spec, t.slot, t.submitted = &rec.Spec, rec.Slot, rec.SubmittedAt()
+				t.spec, t.slot, t.submitted, t.limits = &rec.Spec, rec.Slot, rec.SubmittedAt(), nil
 			}
 		}
 		if changed {
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -22,9 +22,10 @@
 	ref       TaskRef
 	id        string
 	slot      string
-	spec      *job.Spec // nil until the job's record has been read
-	submitted time.Time // with spec
-	verify    bool      // read the record (again): the job may be over
+	spec      *job.Spec       // nil until the job's record has been read
+	submitted time.Time       // with spec
+	limits    []time.Duration // of spec, once asked for
+	verify    bool            // read the record (again): the job may be over
 	state     string
 	cause     string
 	saved     bool
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -54,6 +54,8 @@
 	slot      string
 	rev       uint64
 	submitted time.Time
+	limits    []time.Duration // what the queue's order goes by
+	lastWait  time.Duration
 	tasks     []taskState
 	done      job.Set
 	doneCount int
@@ -227,6 +229,7 @@
 		}
 	}
 	j.doneCount = j.done.Len()
+	j.limits, j.lastWait = p.settings.Limits(j.spec.Class, j.spec.DeadlineS), p.settings.LastWait(j.spec.Class)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.gone[rec.Spec.ID].rev > rev {
