--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v2"
+	"github.com/segmentio/encoding/json"
 
 	"robinstack/agent"
 	"robinstack/cloud"
@@ -67,6 +67,8 @@
 	g := &Gateway{settings: settings, store: store, catalogue: catalogue, latencies: newLatencies(), pauses: pauses, finals: map[string]job.Final{}}
 	g.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
+		JSONEncoder:           json.Marshal,
+		JSONDecoder:           json.Unmarshal,
 		BodyLimit:             maxBody,
 		Immutable:             true,
 		IdleTimeout:           2 * time.Minute,
--- a/httpjson/httpjson.go
+++ b/httpjson/httpjson.go
@@ -3,11 +3,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"time"
 
+	"github.com/segmentio/encoding/json"
 	"github.com/valyala/fasthttp"
 )
 
