--- a/agent/clear.go
+++ b/agent/clear.go
@@ -105,12 +105,19 @@
 const (
 	// lateLoss is what a job that becomes late counts for, in GPU-seconds.
 	lateLoss = 300.0
-	// again is about how long a task that was stopped takes until it runs again.
+	// again is about how long a task that was stopped takes until it runs again, and
+	// safe how long it takes at most: in a full fleet it waits for a place once more.
 	again = 50 * time.Second
+	safe  = 3 * again
+	// fewTasks is the size of a job beyond which one task of it is worth less: the
+	// more tasks a job has, the more likely it is that others are stopped too, by
+	// owners that do not know of each other. All prefer the same jobs this way, and of
+	// those that are spared there are more.
+	fewTasks = 8.0
 )
 
-// lateness is what the task's job loses if it is stopped: nothing if there is time
-// enough to run it again, or if the job is too late for all limits already.
+// lateness is what the task's job may lose by its being stopped: nothing if there is
+// time enough to run it again, or if the job is too late for all limits already.
 func (a *Agent) lateness(t *task, now time.Time) float64 {
 	rest := config.Seconds(t.spec.EstimateS)
 	if t.state == worker.Running {
@@ -120,11 +127,9 @@
 		t.limits = a.settings.Limits(t.spec.Class, t.spec.DeadlineS)
 	}
 	for k, limit := range t.limits {
-		switch slack := limit - now.Sub(t.submitted) - rest; {
-		case slack > again:
-			return 0
-		case slack >= 0:
-			return lateLoss / float64(k+1)
+		if slack := limit - now.Sub(t.submitted) - rest; slack >= 0 {
+			risk := min(1, max(0, (safe-slack).Seconds()/(safe-again).Seconds()))
+			return risk * lateLoss / float64(k+1) * fewTasks / max(fewTasks, float64(t.spec.Tasks))
 		}
 	}
 	return 0
--- a/agent/clear_test.go
+++ b/agent/clear_test.go
@@ -18,13 +18,13 @@
 		n := start(t, ctx, "host-0", state, workers)
 		epoch := slot(t, n, "s", 0)
 		due := 100.0
-		put := func(machine, id string, age time.Duration, indices ...int) {
+		put := func(machine, id string, tasks int, age time.Duration, indices ...int) {
 			w := workers.Add(machine, "box", "a")
 			n.report(workers, w)
 			time.Sleep(time.Second)
 			req := agent.CommitRequest{Machine: machine, Rev: n.entries()[machine].Rev}
 			req.Slot, req.Epoch, req.Age = "s", epoch, age
-			req.Spec = job.Spec{ID: id, Shape: job.Array, Rank: "normal", Tasks: 9, Need: job.Need{CPUs: 4, GPUs: 1, MemoryGB: 1}, EstimateS: 60, DeadlineS: &due, CheckpointS: 10, SaveS: 6}
+			req.Spec = job.Spec{ID: id, Shape: job.Array, Rank: "normal", Tasks: tasks, Need: job.Need{CPUs: 4, GPUs: 1, MemoryGB: 1}, EstimateS: 60, DeadlineS: &due, CheckpointS: 10, SaveS: 6}
 			for _, i := range indices {
 				req.Refs = append(req.Refs, agent.TaskRef{Job: id, Index: i, Attempt: uint64(i + 1)})
 			}
@@ -33,13 +33,15 @@
 				t.Fatal(reply, err)
 			}
 		}
-		put("tight", "wk-1", 20*time.Second, 0, 1)  // 20 s to spare: late if it is stopped
-		put("late", "wk-2", 200*time.Second, 0, 1)  // beyond its deadline
-		put("early", "wk-3", -90*time.Second, 0, 1) // time enough to run again
-		gang := agent.Request{Slot: "s", Epoch: epoch, Tasks: 3, Least: 9, Spare: 3}
-		gang.Spec = job.Spec{ID: "wk-9", Shape: job.Gang, Rank: "high", Tasks: 3, Need: job.Need{CPUs: 8, GPUs: 2, MemoryGB: 9}}
+		put("tight", "wk-1", 8, 20*time.Second, 0, 1)   // 20 s to spare: late if it is stopped
+		put("large", "wk-4", 80, 20*time.Second, 0, 1)  // so is this one, but more likely by others
+		put("late", "wk-2", 8, 200*time.Second, 0, 1)   // beyond its deadline
+		put("risk", "wk-5", 8, -60*time.Second, 0, 1)   // 100 s to spare: it may wait for longer
+		put("early", "wk-3", 8, -150*time.Second, 0, 1) // time enough to run again
+		gang := agent.Request{Slot: "s", Epoch: epoch, Tasks: 5, Least: 9, Spare: 5}
+		gang.Spec = job.Spec{ID: "wk-9", Shape: job.Gang, Rank: "high", Tasks: 5, Need: job.Need{CPUs: 8, GPUs: 2, MemoryGB: 9}}
 		var found agent.Sample
-		if err := n.service.Clearable(gang, &found); err != nil || len(found.Candidates) != 3 {
+		if err := n.service.Clearable(gang, &found); err != nil || len(found.Candidates) != 5 {
 			t.Fatal(found, err)
 		}
 		scores := map[string]float64{}
@@ -47,7 +49,13 @@
 			scores[c.Machine] = c.Score
 		}
 		if scores["late"] != scores["early"] || scores["tight"] != scores["late"]-300 {
-			t.Fatalf("one job that becomes late counts 300, however many of its tasks: %v", scores)
+			t.Errorf("one job that becomes late counts 300, however many of its tasks: %v", scores)
+		}
+		if scores["large"] != scores["late"]-30 {
+			t.Errorf("a task of eighty counts a tenth of one of eight: %v", scores)
+		}
+		if risk := scores["late"] - scores["risk"]; risk < 50 || risk > 200 {
+			t.Errorf("a job that may become late counts in part: %v", scores)
 		}
 	})
 }
