--- a/agent/agent.go
+++ b/agent/agent.go
@@ -276,10 +276,18 @@
 	a.rooms.remove(m)
 }
 
-// unsettledQuiet is how long a machine may leave its new owner's commands
-// unanswered before it counts as silent: a command that its worker gets is
-// answered within milliseconds, and one that is lost is sent again by then.
-const unsettledQuiet = 3 * time.Second
+const (
+	// unsettledQuiet is how long a machine may leave its new owner's commands
+	// unanswered before it counts as silent: a command that its worker gets is
+	// answered within milliseconds, and one that is lost is sent again by then.
+	unsettledQuiet = 2200 * time.Millisecond
+	// unsettledTry is how long such a command waits for its answer, and
+	// unsettledPause the time until the next: with the client's own 2 s and a pause of
+	// a second none would be sent again before the machine counts as silent, and the
+	// loss of one message would cost all that runs there.
+	unsettledTry   = time.Second
+	unsettledPause = 300 * time.Millisecond
+)
 
 // longEnded is how long an ended task may stay on its machine before it is looked
 // up whether its job is over. Recording what ended takes a few seconds at most
@@ -382,6 +390,13 @@
 		return false
 	}
 	address, token, session := m.address, m.token(), max(m.session, 1)
+	pause := time.Second
+	if !m.settled {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, unsettledTry)
+		defer cancel()
+		pause = unsettledPause
+	}
 	a.mu.Unlock()
 
 	report, executed, err := a.workers.Command(ctx, address, token, session, orders)
@@ -404,7 +419,7 @@
 				}
 			}
 		}
-		m.retryAt = time.Now().Add(time.Second)
+		m.retryAt = time.Now().Add(pause)
 		return false
 	}
 	if report.Machine != m.name {
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -182,9 +182,16 @@
 	return maxRentals * maxHire
 }
 
+const (
+	planEvery = time.Second
+	// planMute is the pause while machines do not answer their new owners: jobs wait
+	// for each of them.
+	planMute = 300 * time.Millisecond
+)
+
 // runFleet rents and returns machines while this controller is steward.
 func (s *Steward) runFleet(ctx context.Context) {
-	tick := time.NewTicker(time.Second)
+	tick := time.NewTicker(planEvery)
 	defer tick.Stop()
 	for ctx.Err() == nil {
 		select {
@@ -203,6 +210,10 @@
 		calls.Wait()
 		s.mu.Lock()
 		untold := s.fleet.untold
+		tick.Reset(planEvery)
+		if s.fleet.mute > 0 {
+			tick.Reset(planMute)
+		}
 		s.mu.Unlock()
 		s.tellOwners(ctx, untold)
 		s.giveBack(ctx, returns)
