--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -217,6 +217,32 @@
 	})
 }
 
+// The first command of a new owner is lost on the way. It was sent again only when the
+// machine counted as silent already, and was deleted with all that ran there.
+func TestALostCommandIsNoSilence(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		a, b := start(t, ctx, "host-0", state, workers), start(t, ctx, "host-1", state, workers)
+		w := workers.Add("m1", "box", "a")
+		a.report(workers, w)
+		time.Sleep(time.Second)
+		workers.Do(func() { w.Lost = 1 })
+		a.stop()
+		synctest.Wait()
+		if err := state.Revoke(ctx, 1); err != nil {
+			t.Fatal(err)
+		}
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			if b.entries()["m1"].Silent {
+				t.Fatal("the machine counts as silent")
+			}
+		}
+		if !b.entries()["m1"].Settled {
+			t.Fatal("the machine has not settled")
+		}
+	})
+}
+
 // Tasks found on a machine whose job is over, or was never known, are stopped
 // and forgotten by the machine's new owner. Guards against ran_cancelled.
 func TestTasksOfEndedJobsAreStopped(t *testing.T) {
--- a/fakes/worker.go
+++ b/fakes/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"robinstack/worker"
 )
@@ -19,6 +20,7 @@
 	Report worker.Report
 	// Deaf loses commands; LoseAnswers carries them out but loses the answer.
 	Deaf, LoseAnswers bool
+	Lost              int      // commands to be lost without a word, from the next on
 	Starts            []string // every start that was carried out
 	late              []func()
 }
@@ -110,13 +112,23 @@
 }
 
 // Command is the commander's side.
-func (w *Workers) Command(_ context.Context, address string, token, session uint64, orders []worker.Order) (*worker.Report, bool, error) {
+func (w *Workers) Command(ctx context.Context, address string, token, session uint64, orders []worker.Order) (*worker.Report, bool, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	x := w.byID[address]
 	if x == nil {
 		return nil, false, errors.New("no such worker")
 	}
+	if x.Lost > 0 {
+		x.Lost--
+		w.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(2 * time.Second): // as the client of a controller
+		}
+		w.mu.Lock()
+		return nil, false, errors.New("no answer in time")
+	}
 	if x.Deaf {
 		x.late = append(x.late, func() { x.carryOut(token, session, orders) })
 		return nil, false, errors.New("no answer")
