--- a/cloud/cloud.go
+++ b/cloud/cloud.go
@@ -79,7 +79,7 @@
 
 // NewClient returns a client that sends at most rps requests a second.
 func NewClient(address string, rps float64) *Client {
-	return &Client{base: "http://" + address, http: httpjson.New(4*time.Second, 8), limit: rate.NewLimiter(rate.Limit(rps), int(max(1, rps)))}
+	return &Client{base: "http://" + address, http: httpjson.New(4*time.Second, 8, 20*time.Second), limit: rate.NewLimiter(rate.Limit(rps), int(max(1, rps)))}
 }
 
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,7 +74,7 @@
 		IdleTimeout:           2 * time.Minute,
 		ReadTimeout:           2 * time.Minute,
 		WriteTimeout:          10 * time.Second,
-		Concurrency:           max(64, settings.MaxConnections/2),
+		Concurrency:           max(64, settings.MaxConnections*3/4),
 		Network:               fiber.NetworkTCP4,
 		ErrorHandler: func(c *fiber.Ctx, err error) error {
 			code := fiber.StatusInternalServerError
--- a/httpjson/httpjson.go
+++ b/httpjson/httpjson.go
@@ -18,11 +18,12 @@
 	timeout time.Duration
 }
 
-// New returns a client whose requests take at most timeout each.
-func New(timeout time.Duration, perHost int) *Client {
+// New returns a client whose requests take at most timeout each, over at most perHost
+// connections to each host, which are closed once idle for so long.
+func New(timeout time.Duration, perHost int, idle time.Duration) *Client {
 	return &Client{timeout: timeout, http: &fasthttp.Client{
 		MaxConnsPerHost:               perHost,
-		MaxIdleConnDuration:           20 * time.Second,
+		MaxIdleConnDuration:           idle,
 		MaxIdemponentCallAttempts:     1,
 		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		NoDefaultUserAgentHeader:      true,
--- a/httpjson/httpjson_test.go
+++ b/httpjson/httpjson_test.go
@@ -47,7 +47,7 @@
 		"larger than is taken":     "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n{",
 	} {
 		address, hits := serve(t, answer)
-		_, err := New(5*time.Second, 2).Do(t.Context(), http.MethodPost, "http://"+address+"/txn", map[string]int{"a": 1}, 0)
+		_, err := New(5*time.Second, 2, time.Minute).Do(t.Context(), http.MethodPost, "http://"+address+"/txn", map[string]int{"a": 1}, 0)
 		if err == nil || hits.Load() != 1 {
 			t.Errorf("%s: error %v after %d requests", name, err, hits.Load())
 		}
@@ -56,7 +56,7 @@
 
 func TestMalformedBodyNamesTheStatus(t *testing.T) {
 	address, _ := serve(t, "HTTP/1.1 409 Conflict\r\nContent-Length: 5\r\n\r\n{\"a\":")
-	r, err := New(5*time.Second, 2).Do(t.Context(), http.MethodGet, "http://"+address, nil, 0)
+	r, err := New(5*time.Second, 2, time.Minute).Do(t.Context(), http.MethodGet, "http://"+address, nil, 0)
 	if err != nil || r.Status != http.StatusConflict {
 		t.Fatal(r, err)
 	}
@@ -71,7 +71,7 @@
 	address, hits := serve(t, "")
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if _, err := New(time.Second, 2).Do(ctx, http.MethodGet, "http://"+address, nil, 0); err == nil || hits.Load() != 0 {
+	if _, err := New(time.Second, 2, time.Minute).Do(ctx, http.MethodGet, "http://"+address, nil, 0); err == nil || hits.Load() != 0 {
 		t.Fatalf("error %v after %d requests", err, hits.Load())
 	}
 }
--- a/statekv/client.go
+++ b/statekv/client.go
@@ -140,7 +140,7 @@
 // not counted: those always go out.
 func NewClient(address string, requests, changes float64, controllers int) *Client {
 	c := &Client{
-		base: "http://" + address, http: httpjson.New(1500*time.Millisecond, 64),
+		base: "http://" + address, http: httpjson.New(1500*time.Millisecond, 64, 20*time.Second),
 		reads: rate.NewLimiter(1, 1), writes: rate.NewLimiter(1, 1), requests: requests, changes: changes,
 	}
 	for k := range c.kinds {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -92,8 +92,13 @@
 // Client is the Commander over HTTP.
 type Client struct{ http *httpjson.Client }
 
+// idle is how long a connection to a worker is kept without commands. There is one
+// to each machine, and most commands go in answers to reports: a thousand kept for
+// nothing are a third of the sockets that a controller may have.
+const idle = 3 * time.Second
+
 // NewClient returns a client for commands to workers.
-func NewClient() *Client { return &Client{http: httpjson.New(2*time.Second, 4)} }
+func NewClient() *Client { return &Client{http: httpjson.New(2*time.Second, 4, idle)} }
 
 type command struct {
 	Token   uint64  `json:"baton"`
