Controllers look at what changed rather than at all machines

Watchers go by the order of the last changes, workers that came to a stranger are counted by visit, calm machines are inspected every second time, and the queue is looked at less often the more jobs there are.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,6 +4,7 @@
 package agent
 
 import (
+	"container/list"
 	"context"
 	"log/slog"
 	"sync"
@@ -48,6 +49,8 @@
 	zoneSize map[string]int // machines of the fleet, by zone
 	rooms    *rooms         // the machines by what is free on them
 	sharing  sharing        // what fetches side by side cost
+	turn     bool           // which half of the machines is inspected
+	latest   list.List      // of *machine, in the order of their last changes
 	ver      uint64
 	changed  chan struct{}
 	counters Counters
@@ -93,6 +96,11 @@
 func (a *Agent) touch(m *machine) {
 	a.ver++
 	m.ver = a.ver
+	if m.place == nil {
+		m.place = a.latest.PushBack(m)
+	} else {
+		a.latest.MoveToBack(m.place)
+	}
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
@@ -305,7 +313,11 @@
 		}
 	}
 	a.callIn(now)
+	a.turn = !a.turn
 	for name, m := range a.machines {
+		if m.settled && !m.silent && m.turn != a.turn {
+			continue // the next time: of such a machine nothing is urgent
+		}
 		if m.gone {
 			if now.Sub(m.heard) > 2*time.Minute {
 				delete(a.machines, name)
--- a/agent/balance.go
+++ b/agent/balance.go
@@ -37,6 +37,8 @@
 	visitsApart = 30 * time.Second
 	// calm is how long a shard must have had its owner before it is taken from it.
 	calm = 10 * time.Second
+	// fewestStray is how many workers of a shard must have come, at least.
+	fewestStray = 3
 	// laterDoubt is how long workers must have come here before their shard is
 	// taken by a controller that is not next in line for it.
 	laterDoubt = 4 * time.Second
@@ -87,32 +89,37 @@
 	defer a.mu.Unlock()
 	a.note(shards, now)
 	size, came, first := map[string]int{}, map[string]int{}, map[string]time.Time{}
+	most := 0
 	for name, v := range a.visits {
 		if now.Sub(v.last) > visitsApart {
 			delete(a.visits, name)
+			continue
 		}
-	}
-	if len(a.visits) == 0 {
-		return nil
-	}
-	for _, kv := range machines {
-		key := KeyOf(kv)
-		if key == nil {
+		if v.count < 2 {
 			continue
 		}
-		size[key.Shard]++
-		v, ok := a.visits[kv.Key[len(statekv.MachinePrefix):]]
-		if !ok || v.count < 2 {
+		kv, _ := a.mirror.Get(statekv.MachinePrefix + name)
+		key := KeyOf(kv)
+		if key == nil {
 			continue
 		}
 		if _, rev := Owner(a.mirror, kv); v.rev != rev {
 			continue
 		}
 		came[key.Shard]++
+		most = max(most, came[key.Shard])
 		if at := first[key.Shard]; at.IsZero() || v.first.Before(at) {
 			first[key.Shard] = v.first
 		}
 	}
+	if most < fewestStray {
+		return nil
+	}
+	for _, kv := range machines {
+		if key := KeyOf(kv); key != nil {
+			size[key.Shard]++
+		}
+	}
 	var out map[string]string
 	for _, kv := range shards {
 		key := parsed[ShardKey](kv)
@@ -125,7 +132,7 @@
 			doubt = 0
 		}
 		id := kv.Key[len(statekv.ShardPrefix):]
-		if came[id] >= max(3, (size[id]+3)/4) && now.Sub(first[id]) >= doubt {
+		if came[id] >= max(fewestStray, (size[id]+3)/4) && now.Sub(first[id]) >= doubt {
 			if out == nil {
 				out = map[string]string{}
 			}
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"container/list"
 	"log/slog"
 	"time"
 
@@ -90,6 +91,8 @@
 	answerEnd time.Time // last moment at which anyone may have answered its worker
 	idleSince time.Time
 	ver       uint64
+	turn      bool          // when it is inspected
+	place     *list.Element // among those by their last change
 	kick      chan struct{}
 	quit      chan struct{}
 	retryAt   time.Time
--- a/agent/service.go
+++ b/agent/service.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -230,16 +229,9 @@
 			now := time.Now()
 			reply.Host, reply.Instance, reply.Ver = a.member.Host, a.member.Instance, a.ver
 			reply.StateOK = a.member.Certain()
-			var moved []*machine
-			for _, m := range a.machines {
-				if m.ver > since {
-					moved = append(moved, m)
-				}
-			}
+			moved := a.changedSince(since)
 			if len(moved) > mostEntries {
-				// The earliest changes first, so that the next answer goes on
-				// from the last of them.
-				slices.SortFunc(moved, func(a, b *machine) int { return cmp.Compare(a.ver, b.ver) })
+				// The next answer goes on from the last of these.
 				moved = moved[:mostEntries]
 				reply.Ver, reply.More = moved[mostEntries-1].ver, true
 			}
@@ -254,9 +246,31 @@
 		case <-ctx.Done():
 		case <-changed:
 			// Changes come in groups: a short pause saves answers.
-			time.Sleep(30 * time.Millisecond)
+			time.Sleep(watchPause)
+		}
+	}
+}
+
+// watchPause gathers changes: a machine that changes several times goes out once.
+const watchPause = 60 * time.Millisecond
+
+// changedSince returns the machines that changed after a version, the earliest
+// changes first. It looks only at those.
+func (a *Agent) changedSince(since uint64) []*machine {
+	var moved []*machine
+	for at := a.latest.Back(); at != nil; {
+		m, before := at.Value.(*machine), at.Prev()
+		if a.machines[m.name] != m {
+			a.latest.Remove(at) // given up or gone since
+		} else if m.ver <= since {
+			break
+		} else {
+			moved = append(moved, m)
 		}
+		at = before
 	}
+	slices.Reverse(moved)
+	return moved
 }
 
 func (a *Agent) runContext() context.Context {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -188,15 +188,20 @@
 		case <-ctx.Done():
 		case <-tick.C:
 		case <-p.kick:
-			time.Sleep(dispatchPause)
+			time.Sleep(p.dispatchPause())
 		}
 	}
 	duties.Wait()
 }
 
 // dispatchPause lets what wakes the queue gather: under load something does
-// all the time, and every look goes through all jobs.
-const dispatchPause = 10 * time.Millisecond
+// all the time, and every look goes through all jobs, so that with many the looks are
+// further apart.
+func (p *Placer) dispatchPause() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(50*time.Millisecond, 10*time.Millisecond+time.Duration(len(p.jobs))*100*time.Microsecond)
+}
 
 func (p *Placer) wake() {
 	select {
