Machines that do not answer a new owner are given up after 1.6 s and two tries

Once silent, a machine is tried every 2 s: with a zone of 1,350 cut off a connection to nearly each was open all the time.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -49,7 +49,7 @@
 	zoneSize map[string]int // machines of the fleet, by zone
 	rooms    *rooms         // the machines by what is free on them
 	sharing  sharing        // what fetches side by side cost
-	turn     bool           // which half of the machines is inspected
+	turn     int            // which of turns parts of the machines is inspected
 	latest   list.List      // of *machine, in the order of their last changes
 	ver      uint64
 	changed  chan struct{}
@@ -80,7 +80,7 @@
 	duties.Go(func() { a.runLearning(ctx) })
 	duties.Go(func() { a.runRemovals(ctx) })
 	duties.Go(func() { a.runShards(ctx) })
-	tick := time.NewTicker(500 * time.Millisecond)
+	tick := time.NewTicker(250 * time.Millisecond)
 	defer tick.Stop()
 	for ctx.Err() == nil {
 		a.inspect(time.Now())
@@ -288,13 +288,17 @@
 	// unsettledQuiet is how long a machine may leave its new owner's commands
 	// unanswered before it counts as silent: a command that its worker gets is
 	// answered within milliseconds, and one that is lost is sent again by then.
-	unsettledQuiet = 2200 * time.Millisecond
+	unsettledQuiet = 1600 * time.Millisecond
 	// unsettledTry is how long such a command waits for its answer, and
 	// unsettledPause the time until the next: with the client's own 2 s and a pause of
 	// a second none would be sent again before the machine counts as silent, and the
 	// loss of one message would cost all that runs there.
-	unsettledTry   = time.Second
-	unsettledPause = 300 * time.Millisecond
+	unsettledTry   = 700 * time.Millisecond
+	unsettledPause = 150 * time.Millisecond
+	// silentPause is that once it counts as silent. When a zone of 1,350 machines was
+	// cut off, a connection to nearly each was open all the time, all of the sockets
+	// that a controller may have.
+	silentPause = 2 * time.Second
 )
 
 // longEnded is how long an ended task may stay on its machine before it is looked
@@ -302,6 +306,10 @@
 // while the state service answers.
 const longEnded = 20 * time.Second
 
+// turns is how many looks it takes until each machine has been inspected; those of
+// which something is urgent are at each.
+const turns = 4
+
 // inspect does what time brings: reservations expire, silent machines are
 // noticed, and tasks of unreachable workers are gone once their lease ran out.
 func (a *Agent) inspect(now time.Time) {
@@ -313,7 +321,7 @@
 		}
 	}
 	a.callIn(now)
-	a.turn = !a.turn
+	a.turn = (a.turn + 1) % turns
 	for name, m := range a.machines {
 		if m.settled && !m.silent && m.turn != a.turn {
 			continue // the next time: of such a machine nothing is urgent
@@ -409,6 +417,9 @@
 		defer cancel()
 		pause = unsettledPause
 	}
+	if m.silent {
+		pause = silentPause
+	}
 	a.mu.Unlock()
 
 	report, executed, err := a.workers.Command(ctx, address, token, session, orders)
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -91,7 +91,7 @@
 	answerEnd time.Time // last moment at which anyone may have answered its worker
 	idleSince time.Time
 	ver       uint64
-	turn      bool          // when it is inspected
+	turn      int           // when it is inspected
 	place     *list.Element // among those by their last change
 	kick      chan struct{}
 	quit      chan struct{}
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -549,7 +549,7 @@
 		m.answerEnd = now.Add(a.settings.HoldTime())
 	}
 	a.machines[name] = m
-	m.rooms, m.turn = a.rooms, hashOf(name)%2 == 0
+	m.rooms, m.turn = a.rooms, hashOf(name)%turns
 	m.roomChanged()
 	delete(a.released, name)
 	a.touch(m)
