--- a/placer/place.go
+++ b/placer/place.go
@@ -111,7 +111,7 @@
 		if w == 0 || j.spec.Shape == job.Gang && w < len(j.tasks) {
 			continue
 		}
-		order := p.policy.Order(j.spec, now.Sub(j.submitted), j.limits, j.tier, j.lastWait)
+		order := p.policy.Order(j.spec, now.Sub(j.submitted), j.limits, j.lastWait)
 		if j.suspect {
 			order = math.Inf(-1)
 		}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -56,7 +56,6 @@
 	submitted time.Time
 	limits    []time.Duration // what the queue's order goes by
 	lastWait  time.Duration
-	tier      int // the first of limits that it is meant to meet, by triage
 	tasks     []taskState
 	done      job.Set
 	doneCount int
@@ -178,7 +177,6 @@
 	every(100*time.Millisecond, p.flush)
 	every(200*time.Millisecond, p.sendStops)
 	every(time.Second, p.sendDemand)
-	every(triageEvery, func(context.Context) { p.sortOut() })
 	every(2*time.Second, func(context.Context) { p.dropGone() })
 	every(10*time.Second, func(context.Context) { p.dropShapes() })
 	every(5*time.Second, p.dropSlots)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -167,11 +167,10 @@
 // Order puts jobs in the queue's order, higher first. The built-in order is
 // rank; jobs without a deadline by age; then those that can still meet the
 // earliest of limits, by when that is; those that can still meet the next; and
-// last those that are too late for all. The limits before tier count as missed: the
-// job is given up for them, so that others meet theirs. A job whose tasks should all have started
+// last those that are too late for all. A job whose tasks should all have started
 // soon by the users' aim, wait after its submission (0: none), goes before them: jobs
 // that come later and can meet their limits would pass it by for ever.
-func (p *Policy) Order(spec *job.Spec, age time.Duration, limits []time.Duration, tier int, wait time.Duration) float64 {
+func (p *Policy) Order(spec *job.Spec, age time.Duration, limits []time.Duration, wait time.Duration) float64 {
 	if p.order != nil {
 		env := jobEnv{Rank: spec.Priority(), Class: spec.Class, Team: spec.Team, Tasks: spec.Tasks, GPUs: spec.GPUs, CPUs: spec.CPUs,
 			AgeS: age.Seconds(), EstimateS: spec.EstimateS, HasDue: spec.DeadlineS != nil}
@@ -192,7 +191,7 @@
 		return order + 2*classes - left
 	}
 	for k, limit := range limits {
-		if left := (limit - age).Seconds(); k >= tier && left >= spec.EstimateS {
+		if left := (limit - age).Seconds(); left >= spec.EstimateS {
 			return order + classes/float64(k+1) - left
 		}
 	}
