--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -36,6 +36,7 @@
 	toldAt   time.Time             // when the log last had the totals
 	told     map[string][2]float64 // prices that the log has, by type
 	lows     map[pool]*lowWater    // idle machines of each pool
+	uses     map[pool]*uses        // those that got work lately
 	backlog  backlog
 	boots    bootWatch
 	mute     int      // machines that have not answered their new owners
@@ -59,7 +60,7 @@
 
 func newFleet() fleet {
 	return fleet{booting: map[string]boot{}, listed: map[string]time.Time{}, last: map[string]cloud.Machine{}, shut: map[pool]time.Time{}, limits: map[pool]int{},
-		gangs: map[string]gangClass{}, lows: map[pool]*lowWater{}, silent: map[string]time.Time{}, deleted: map[string]time.Time{}, told: map[string][2]float64{}}
+		gangs: map[string]gangClass{}, lows: map[pool]*lowWater{}, uses: map[pool]*uses{}, silent: map[string]time.Time{}, deleted: map[string]time.Time{}, told: map[string][2]float64{}}
 }
 
 // runList reads the cloud's list and prices from time to time.
@@ -361,8 +362,9 @@
 // of a pool, as many are spare as were idle all the time, whichever they were.
 // Those that have been idle longest go.
 func (s *Steward) spare(bins []*bin, idle map[string]time.Duration, now time.Time) []string {
-	names := map[pool][]string{}
+	names, present := map[pool][]string{}, map[string]bool{}
 	for _, b := range bins {
+		present[b.name] = true
 		p := pool{b.typeName, b.zone, b.spot}
 		if _, known := names[p]; !known {
 			names[p] = nil
@@ -382,12 +384,21 @@
 		slices.SortFunc(idlers, func(a, b string) int {
 			return cmp.Or(cmp.Compare(idle[b], idle[a]), cmp.Compare(a, b))
 		})
+		if s.fleet.uses[p] == nil {
+			s.fleet.uses[p] = &uses{}
+		}
+		keep := s.fleet.uses[p].look(now, idlers, present)
+		soon := time.Duration(soonShare * float64(s.policy.IdleReturn))
+		for n < len(idlers)-keep && idle[idlers[n]] >= soon {
+			n++
+		}
 		out = append(out, idlers[:n]...)
 		low.lower(n)
 	}
 	for p := range s.fleet.lows {
 		if _, known := names[p]; !known {
 			delete(s.fleet.lows, p)
+			delete(s.fleet.uses, p)
 		}
 	}
 	return out
@@ -444,7 +455,7 @@
 // lower takes those that are returned out of what was counted.
 func (l *lowWater) lower(n int) {
 	for i := range l.counts {
-		l.counts[i] -= n
+		l.counts[i] = max(0, l.counts[i]-n)
 	}
 }
 
