--- a/agent/agent.go
+++ b/agent/agent.go
@@ -295,9 +295,8 @@
 	// loss of one message would cost all that runs there.
 	unsettledTry   = 700 * time.Millisecond
 	unsettledPause = 150 * time.Millisecond
-	// silentPause is that once it counts as silent. When a zone of 1,350 machines was
-	// cut off, a connection to nearly each was open all the time, all of the sockets
-	// that a controller may have.
+	// silentPause is that once it counts as silent. Of a zone that is cut off, four
+	// machines in five would be in a try at any moment, with a connection each.
 	silentPause = 2 * time.Second
 )
 
