--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -317,7 +317,7 @@
 	f.retry = nil
 	onOffer := offers(types, func(p pool) int { return f.poolLimit(p, now) })
 	rent, over := packing(demands, bins, turn, onOffer, maxRentals*maxHire)
-	f.backlog.add(now, over)
+	f.backlog.add(now, over, backlogSpan)
 	for _, o := range onOffer {
 		n := rent[o.pool]
 		// What a repeated rental may bring yet is not rented once more.
@@ -405,57 +405,39 @@
 }
 
 // backlog remembers how much found no room lately.
-type backlog struct {
-	sizes []float64
-	times []time.Time
-}
+type backlog struct{ window[float64] }
 
 // backlogSpan is the time over which a backlog is compared with itself.
 const backlogSpan = 20 * time.Second
 
-func (b *backlog) add(now time.Time, size float64) {
-	b.sizes, b.times = append(b.sizes, size), append(b.times, now)
-	for len(b.times) > 1 && now.Sub(b.times[1]) >= backlogSpan {
-		b.sizes, b.times = b.sizes[1:], b.times[1:]
-	}
-}
-
 func (b *backlog) last() float64 {
-	if len(b.sizes) == 0 {
+	if len(b.values) == 0 {
 		return 0
 	}
-	return b.sizes[len(b.sizes)-1]
+	return b.values[len(b.values)-1]
 }
 
 // grows reports whether it is clearly more than some time ago.
 func (b *backlog) grows(now time.Time) bool {
-	return len(b.times) > 0 && now.Sub(b.times[0]) >= backlogSpan && b.last() > 1.2*b.sizes[0]
+	return len(b.times) > 0 && now.Sub(b.times[0]) >= backlogSpan && b.last() > 1.2*b.values[0]
 }
 
 // lowWater tells how many there were at least during a span of time.
-type lowWater struct {
-	counts []int
-	times  []time.Time
-}
+type lowWater struct{ window[int] }
 
 // add takes note of a count and returns the least over the span, or 0 as long
 // as it has not been watched for that time.
 func (l *lowWater) add(now time.Time, n int, span time.Duration) int {
-	l.counts, l.times = append(l.counts, n), append(l.times, now)
-	full := now.Sub(l.times[0]) >= span
-	for len(l.times) > 1 && now.Sub(l.times[1]) >= span {
-		l.counts, l.times = l.counts[1:], l.times[1:]
-	}
-	if !full {
+	if !l.window.add(now, n, span) {
 		return 0
 	}
-	return slices.Min(l.counts)
+	return slices.Min(l.values)
 }
 
 // lower takes those that are returned out of what was counted.
 func (l *lowWater) lower(n int) {
-	for i := range l.counts {
-		l.counts[i] = max(0, l.counts[i]-n)
+	for i := range l.values {
+		l.values[i] = max(0, l.values[i]-n)
 	}
 }
 
--- a/steward/spare.go
+++ b/steward/spare.go
@@ -8,11 +8,26 @@
 // the fleet's last thousand machines stood idle for the whole time after which idle
 // ones are returned, which was a twelfth of all that machines cost.
 type uses struct {
-	idle   map[string]bool
-	counts []int
+	window[int] // how many got work
+	idle        map[string]bool
+}
+
+// window keeps the values of a span of time, and the last one before it.
+type window[T any] struct {
+	values []T
 	times  []time.Time
 }
 
+// add takes note of a value and returns whether the whole span has been watched.
+func (w *window[T]) add(now time.Time, v T, span time.Duration) (full bool) {
+	w.values, w.times = append(w.values, v), append(w.times, now)
+	full = now.Sub(w.times[0]) >= span
+	for len(w.times) > 1 && now.Sub(w.times[1]) >= span {
+		w.values, w.times = w.values[1:], w.times[1:]
+	}
+	return full
+}
+
 const (
 	// usesSpan is the time over which machines that got work are counted.
 	usesSpan = 20 * time.Second
@@ -40,17 +55,12 @@
 		}
 	}
 	u.idle = idle
-	u.counts, u.times = append(u.counts, n), append(u.times, now)
-	full := now.Sub(u.times[0]) >= usesSpan
-	sum := 0
-	for len(u.times) > 1 && now.Sub(u.times[1]) >= usesSpan {
-		u.counts, u.times = u.counts[1:], u.times[1:]
+	if !u.add(now, n, usesSpan) {
+		return len(idlers)
 	}
-	for _, n := range u.counts {
+	sum := 0
+	for _, n := range u.values {
 		sum += n
 	}
-	if !full {
-		return len(idlers)
-	}
 	return usesLeast + usesDoubt*sum
 }
