--- a/config/config.go
+++ b/config/config.go
@@ -291,16 +291,17 @@
 	return out
 }
 
-// LastWait is the longest time within which tasks of a class should have started by
-// the users' aims, or 0 if there is none.
-func (s *Settings) LastWait(class string) time.Duration {
-	last := time.Duration(0)
+// Waits lists the times within which tasks of a class should have started by the
+// users' aims, the tightest first.
+func (s *Settings) Waits(class string) []time.Duration {
+	var out []time.Duration
 	for _, o := range s.Objectives {
 		if o.Kind == "wait" && o.Class == class {
-			last = max(last, o.Within)
+			out = append(out, o.Within)
 		}
 	}
-	return last
+	slices.Sort(out)
+	return out
 }
 
 // Guest reports whether a team has no guarantee while others have one.
--- a/placer/patience.go
+++ b/placer/patience.go
@@ -82,9 +82,10 @@
 func (p *Placer) aimSlack(j *jobState, fetch time.Duration) time.Duration {
 	age := time.Since(j.submitted)
 	tightest := time.Duration(0)
-	for _, o := range p.settings.Objectives {
-		if left := o.Within - age; o.Kind == "wait" && o.Class == j.spec.Class && left >= fetch && (tightest == 0 || left < tightest) {
-			tightest = left
+	for _, within := range j.waits {
+		if within-age >= fetch {
+			tightest = within - age
+			break
 		}
 	}
 	return max(0, tightest-time.Duration(fetchDoubt*float64(fetch))-assembly)
--- a/placer/place.go
+++ b/placer/place.go
@@ -111,7 +111,7 @@
 		if w == 0 || j.spec.Shape == job.Gang && w < len(j.tasks) {
 			continue
 		}
-		order := p.policy.Order(j.spec, now.Sub(j.submitted), j.limits, j.lastWait)
+		order := p.policy.Order(j.spec, now.Sub(j.submitted), j.limits, j.lastWait())
 		if j.suspect {
 			order = math.Inf(-1)
 		}
@@ -345,13 +345,10 @@
 // timeLeft is how long the job's tasks may wait yet by the tightest of the
 // users' aims for its class, and 0 if there is none.
 func (p *Placer) timeLeft(j *jobState) time.Duration {
-	within := time.Duration(0)
-	for _, o := range p.settings.Objectives {
-		if o.Kind == "wait" && o.Class == j.spec.Class && (within == 0 || o.Within < within) {
-			within = o.Within
-		}
+	if len(j.waits) == 0 {
+		return 0
 	}
-	return max(0, within-time.Since(j.submitted))
+	return max(0, j.waits[0]-time.Since(j.submitted))
 }
 
 // limitAllows asks whether the team's limit leaves room for the whole gang, so
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -55,7 +55,7 @@
 	rev       uint64
 	submitted time.Time
 	limits    []time.Duration // what the queue's order goes by
-	lastWait  time.Duration
+	waits     []time.Duration // and the users' aims for when its tasks should have started
 	tasks     []taskState
 	done      job.Set
 	doneCount int
@@ -82,6 +82,14 @@
 	clearUntil  time.Time // machines are being cleared for it; its placement's own
 }
 
+// lastWait is the longest of the users' aims for its wait, or 0.
+func (j *jobState) lastWait() time.Duration {
+	if len(j.waits) == 0 {
+		return 0
+	}
+	return j.waits[len(j.waits)-1]
+}
+
 func (j *jobState) waiting() int {
 	n := 0
 	for i := range j.tasks {
@@ -234,7 +242,7 @@
 		}
 	}
 	j.doneCount = j.done.Len()
-	j.limits, j.lastWait = p.settings.Limits(j.spec.Class, j.spec.DeadlineS), p.settings.LastWait(j.spec.Class)
+	j.limits, j.waits = p.settings.Limits(j.spec.Class, j.spec.DeadlineS), p.settings.Waits(j.spec.Class)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.gone[rec.Spec.ID].rev > rev {
