Agent: machines are counted once a pass, and a report is taken in one place

Three passes over all machines' keys counted them by shard; what follows a report stood twice; Image of what may be cleared was read by nobody. No behaviour changes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -221,6 +221,18 @@
 	return reply
 }
 
+// apply takes a report into what is known of the machine and returns whether anything
+// changed; then those who follow it are told.
+func (a *Agent) apply(m *machine, r *worker.Report, now time.Time, executed uint64) bool {
+	if !m.apply(r, now, executed) {
+		return false
+	}
+	m.follow(now, a.types()[m.typeName], &a.sharing)
+	a.touch(m)
+	a.wantLearning(m)
+	return true
+}
+
 func (a *Agent) ownReport(r *worker.Report) (Reply, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -243,11 +255,7 @@
 	if !a.answering(now) {
 		return Reply{}, true
 	}
-	if m.apply(r, now, 0) {
-		m.follow(now, a.types()[m.typeName], &a.sharing)
-		a.touch(m)
-		a.wantLearning(m)
-	}
+	a.apply(m, r, now, 0)
 	m.answered(now)
 	if m.pressing(now) {
 		m.wake()
@@ -455,11 +463,7 @@
 	if executed {
 		proof = token
 	}
-	if now := time.Now(); m.apply(report, now, proof) {
-		m.follow(now, a.types()[m.typeName], &a.sharing)
-		a.touch(m)
-		a.wantLearning(m)
-	} else if executed {
+	if !a.apply(m, report, time.Now(), proof) && executed {
 		// A later report overtook this answer; the next one decides.
 		for _, t := range m.tasks {
 			if t.sent && !t.seen && t.sentToken == token {
--- a/agent/balance.go
+++ b/agent/balance.go
@@ -84,11 +84,11 @@
 
 // strayShards lists the shards of living owners of which so many workers came
 // here again that their owner has plainly lost them, with the reason.
-func (a *Agent) strayShards(shards, machines []statekv.KV, hosts []string, now time.Time) map[string]string {
+func (a *Agent) strayShards(shards []statekv.KV, size map[string]int, hosts []string, now time.Time) map[string]string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.note(shards, now)
-	size, came, first := map[string]int{}, map[string]int{}, map[string]time.Time{}
+	came, first := map[string]int{}, map[string]time.Time{}
 	most := 0
 	for name, v := range a.visits {
 		if now.Sub(v.last) > visitsApart {
@@ -115,11 +115,6 @@
 	if most < fewestStray {
 		return nil
 	}
-	for _, kv := range machines {
-		if key := KeyOf(kv); key != nil {
-			size[key.Shard]++
-		}
-	}
 	var out map[string]string
 	for _, kv := range shards {
 		key := parsed[ShardKey](kv)
@@ -154,19 +149,13 @@
 
 // evenOut lists shards to take from the controller that owns most, if this one
 // owns least and less than a quarter of its part, and can reach the machines.
-func (a *Agent) evenOut(ctx context.Context, shards, machines []statekv.KV, hosts []string, now time.Time) map[string]string {
+func (a *Agent) evenOut(ctx context.Context, shards, machines []statekv.KV, size map[string]int, hosts []string, now time.Time) map[string]string {
 	a.mu.Lock()
 	quiet := len(a.home) > 0 && now.Sub(a.note(shards, now)) >= settledFor
 	a.mu.Unlock()
 	if !quiet || len(machines) < fewest*len(hosts) {
 		return nil
 	}
-	size := map[string]int{}
-	for _, kv := range machines {
-		if key := KeyOf(kv); key != nil {
-			size[key.Shard]++
-		}
-	}
 	owned := map[string]int{}
 	for _, kv := range shards {
 		if key := parsed[ShardKey](kv); key != nil && a.member.Alive(key.Holder) {
--- a/agent/clear.go
+++ b/agent/clear.go
@@ -159,7 +159,7 @@
 		}
 		if _, cost, ok := a.victims(m, &r, now); ok {
 			room.add(m.zone, 1)
-			found = append(found, Candidate{Machine: m.name, Host: a.member.Host, Rev: m.rev, Zone: m.zone, Fits: 1, Image: m.imageState(r.Spec.Image), Score: -cost})
+			found = append(found, Candidate{Machine: m.name, Host: a.member.Host, Rev: m.rev, Zone: m.zone, Fits: 1, Score: -cost})
 		}
 	}
 	reply.Candidates = best(found, &r)
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -150,12 +150,12 @@
 	}
 	now := time.Now()
 	shards, machines := a.mirror.Dir(statekv.ShardPrefix), a.mirror.Dir(statekv.MachinePrefix)
-	wanted := a.strayShards(shards, machines, hosts, now)
+	size := a.survey(machines)
+	wanted := a.strayShards(shards, size, hosts, now)
 	if len(wanted) == 0 {
-		wanted = a.evenOut(ctx, shards, machines, hosts, now)
+		wanted = a.evenOut(ctx, shards, machines, size, hosts, now)
 	}
-	used := a.survey(machines)
-	held, empty := a.takeShards(ctx, shards, used, wanted)
+	held, empty := a.takeShards(ctx, shards, size, wanted)
 	home, latest := a.chooseHome(ctx, held)
 	// What an earlier owner claimed last is in the mirror by then.
 	wctx, cancel := context.WithTimeout(ctx, 3*time.Second)
@@ -169,7 +169,7 @@
 		a.shards[id] = h.rev
 	}
 	a.mu.Unlock()
-	a.dropEmpty(ctx, held, home, used, empty)
+	a.dropEmpty(ctx, held, home, size, empty)
 	// Machines first: whoever is in a shard that came since belongs to its owner.
 	machines = a.mirror.Dir(statekv.MachinePrefix)
 	a.sortOut(hosts, machines, ownersOf(a.mirror.Dir(statekv.ShardPrefix)))
@@ -179,7 +179,7 @@
 // living owners, and returns all that it holds then. Those without machines it
 // leaves, to be removed later: after a crash of all controllers the state service's
 // limit is what the others wait for.
-func (a *Agent) takeShards(ctx context.Context, shards []statekv.KV, used map[string]bool, wanted map[string]string) (held map[string]holding, empty []statekv.Role) {
+func (a *Agent) takeShards(ctx context.Context, shards []statekv.KV, size map[string]int, wanted map[string]string) (held map[string]holding, empty []statekv.Role) {
 	heirs := a.member.Heirs(a.settings.Hosts())
 	held = map[string]holding{}
 	keys := map[string]*ShardKey{}
@@ -200,7 +200,7 @@
 			continue
 		}
 		role := statekv.Role{Key: kv.Key, Seen: kv.Rev, From: from, Value: ShardKey{Holder: a.member.Holder, Index: key.Index}}
-		if !used[kv.Key] && wanted[kv.Key] == "" {
+		if size[kv.Key[len(statekv.ShardPrefix):]] == 0 && wanted[kv.Key] == "" {
 			empty = append(empty, role)
 			continue
 		}
@@ -329,11 +329,11 @@
 // too has over; what these write late carries the condition that it goes on. Should a
 // machine have been claimed into one unseen, it is claimed anew like any whose shard
 // is lost.
-func (a *Agent) dropEmpty(ctx context.Context, held map[string]holding, home []string, used map[string]bool, empty []statekv.Role) {
+func (a *Agent) dropEmpty(ctx context.Context, held map[string]holding, home []string, size map[string]int, empty []statekv.Role) {
 	var when []statekv.Cond
 	var then []statekv.Op
 	for id, h := range held {
-		if !used[statekv.ShardPrefix+id] && !slices.Contains(home, id) {
+		if size[id] == 0 && !slices.Contains(home, id) {
 			empty = append(empty, statekv.Role{Key: statekv.ShardPrefix + id, Seen: h.rev})
 		}
 	}
--- a/agent/zone.go
+++ b/agent/zone.go
@@ -58,24 +58,21 @@
 	return in[hashOf(r.Machine)%len(in)]
 }
 
-// survey takes note of how many machines each zone has, and returns the keys of the
-// shards that have any.
-func (a *Agent) survey(machines []statekv.KV) (used map[string]bool) {
-	size, shards := map[string]int{}, map[string]bool{}
+// survey takes note of how many machines each zone has, and returns how many each
+// shard has, by its id.
+func (a *Agent) survey(machines []statekv.KV) (size map[string]int) {
+	zones := map[string]int{}
+	size = map[string]int{}
 	for _, kv := range machines {
 		if key := KeyOf(kv); key != nil {
-			size[key.Zone]++
-			shards[key.Shard] = true
+			zones[key.Zone]++
+			size[key.Shard]++
 		}
 	}
-	used = map[string]bool{}
-	for id := range shards {
-		used[statekv.ShardPrefix+id] = true
-	}
 	a.mu.Lock()
-	a.zoneSize = size
+	a.zoneSize = zones
 	a.mu.Unlock()
-	return used
+	return size
 }
 
 // shardZone is the zone whose machines a shard is for.
