--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -151,3 +151,32 @@
 		t.Fatalf("without jobs: %+v", got)
 	}
 }
+
+// Who was served: each job counts by its own aim, users' cancellations do not
+// count, and what is not over when the log ends counts once its time has passed.
+func TestServed(t *testing.T) {
+	accepted := func(at time.Duration, id, class string, due int) string {
+		return line(at, `msg="job accepted" job=%s class=%s team=t-%s tasks=2 gpus=1 due_s=%d slot=s`, id, class, class, due)
+	}
+	l := read(t, accepted(0, "wk-1", "read", 100)+accepted(0, "wk-2", "read", 100)+accepted(0, "wk-3", "read", 100)+
+		accepted(150*time.Second, "wk-4", "read", 100)+accepted(0, "wk-5", "train", 0)+accepted(0, "wk-6", "read", 100)+
+		line(20*time.Second, `msg="task committed" task=wk-1/0 attempt=1 machine=m verdict=started`)+
+		line(25*time.Second, `msg="task committed" task=wk-1/1 attempt=1 machine=m verdict=started`)+
+		line(90*time.Second, `msg="job complete" job=wk-1 age=90s`)+
+		line(30*time.Second, `msg="task committed" task=wk-2/0 attempt=1 machine=m verdict=started`)+
+		line(140*time.Second, `msg="job complete" job=wk-2 age=140s`)+
+		line(50*time.Second, `msg="job cancelled" job=wk-6`)+
+		line(180*time.Second, `msg=fleet machines=1`))
+	classes, teams := l.Served(func(_ string, due time.Duration) time.Duration { return due })
+	want := Served{Name: "read", Jobs: 4, Cancelled: 1, Started: 2, Done: 2, Tasks: 8, By: [3]Part{{3, 1}, {3, 2}, {2, 2}}, LongestS: 180}
+	if len(classes) != 2 || classes[0] != want || teams[0].Jobs != 4 || teams[0].Name != "t-read" {
+		t.Fatalf("%+v\n%+v", classes, teams)
+	}
+	if train := classes[1]; train.Jobs != 1 || train.Started != 0 || train.By != [3]Part{} {
+		t.Fatalf("%+v", train)
+	}
+	var out strings.Builder
+	if err := PrintServed(&out, classes, teams); err != nil || !strings.Contains(out.String(), "0.33") {
+		t.Fatal(out.String(), err)
+	}
+}
--- a/audit/order.go
+++ b/audit/order.go
@@ -11,16 +11,18 @@
 	"time"
 )
 
-// submission is a job with a deadline, as its acceptance was logged.
+// submission is a job, as its acceptance and its course were logged.
 type submission struct {
-	id, class string
-	tasks     int
-	gpus      float64
-	at, due   time.Time
-	done      int
-	work      float64       // GPU seconds of the runs that completed
-	longest   time.Duration // of those runs
-	last      time.Time     // when the last of them ended
+	id, class, team string
+	tasks           int
+	gpus            float64
+	at, due         time.Time
+	done            int
+	work            float64       // GPU seconds of the runs that completed
+	longest         time.Duration // of those runs
+	last            time.Time     // when the last of them ended
+
+	started, complete, cancelled time.Time
 }
 
 // Order is what the deadlines of a class became, and what another order could have
@@ -151,7 +153,7 @@
 		return nil // written before deadlines were logged
 	}
 	v := &values{f: f}
-	s := &submission{id: f["job"], class: f["class"], tasks: int(v.number("tasks")), gpus: v.number("gpus"), at: at}
+	s := &submission{id: f["job"], class: f["class"], team: f["team"], tasks: int(v.number("tasks")), gpus: v.number("gpus"), at: at}
 	if due := v.seconds("due_s"); due > 0 {
 		s.due = at.Add(due)
 	}
--- a/audit/read.go
+++ b/audit/read.go
@@ -221,6 +221,8 @@
 		}
 	case "job accepted":
 		return l.accepted(at, f)
+	case "task committed", "job complete", "job cancelled":
+		l.follow(at, f)
 	case "machine is silent":
 		l.machine(f["machine"]).silent = at.Add(-v.seconds("for_s"))
 		return v.err
--- /dev/null
+++ b/audit/served.go
@@ -0,0 +1,155 @@
+package audit
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// Times are the multiples of what its aims ask by which a job is looked for.
+var Times = [...]float64{1, 1.5, 2}
+
+// Served is what became of the jobs of a class or a team.
+type Served struct {
+	Name      string  `json:"name"`
+	Jobs      int     `json:"jobs"`      // accepted, without those that their users cancelled
+	Cancelled int     `json:"cancelled"` // by their users
+	Started   int     `json:"started"`   // with at least one task on a machine
+	Done      int     `json:"done"`
+	Tasks     int     `json:"tasks"`
+	TasksDone int     `json:"tasks_done"`
+	By        [3]Part `json:"done_by"`        // by each of Times
+	LongestS  float64 `json:"longest_wait_s"` // until the first start, or until the log's end
+}
+
+// Part is how many of so many.
+type Part struct {
+	Of   int `json:"of"`
+	Kept int `json:"kept"`
+}
+
+func (p Part) String() string {
+	if p.Of == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", float64(p.Kept)/float64(p.Of))
+}
+
+// Served tells for each class and each team what became of its jobs. Aim returns how
+// long after its submission a job should be done by the users' tightest aim, given
+// its class and deadline (0: none); 0 is none. A job counts towards a reading once
+// its time for it has passed by the log's end, or it is done.
+func (l *Log) Served(aim func(class string, due time.Duration) time.Duration) (classes, teams []Served) {
+	byClass, byTeam := map[string]*Served{}, map[string]*Served{}
+	of := func(m map[string]*Served, name string) *Served {
+		if m[name] == nil {
+			m[name] = &Served{Name: name}
+		}
+		return m[name]
+	}
+	for _, s := range l.jobs {
+		var due time.Duration
+		if !s.due.IsZero() {
+			due = s.due.Sub(s.at)
+		}
+		limit := aim(s.class, due)
+		for _, v := range []*Served{of(byClass, s.class), of(byTeam, s.team)} {
+			v.add(s, limit, l.last)
+		}
+	}
+	list := func(m map[string]*Served) (out []Served) {
+		for _, name := range slices.Sorted(maps.Keys(m)) {
+			out = append(out, *m[name])
+		}
+		return out
+	}
+	return list(byClass), list(byTeam)
+}
+
+func (v *Served) add(s *submission, limit time.Duration, end time.Time) {
+	if !s.cancelled.IsZero() {
+		v.Cancelled++
+		return
+	}
+	v.Jobs++
+	v.Tasks += s.tasks
+	v.TasksDone += min(s.done, s.tasks)
+	from := end
+	if !s.started.IsZero() {
+		v.Started++
+		from = s.started
+	}
+	v.LongestS = max(v.LongestS, from.Sub(s.at).Round(100*time.Millisecond).Seconds())
+	if !s.complete.IsZero() {
+		v.Done++
+	}
+	for k, times := range Times {
+		by := s.at.Add(time.Duration(times * float64(limit)))
+		switch {
+		case limit == 0:
+		case !s.complete.IsZero() && !s.complete.After(by):
+			v.By[k].Of++
+			v.By[k].Kept++
+		case !s.complete.IsZero() || by.Before(end):
+			v.By[k].Of++
+		}
+	}
+}
+
+// worst orders the least served first, by the tightest reading.
+func worst(a, b Served) int {
+	share := func(p Part) float64 {
+		if p.Of == 0 {
+			return 1
+		}
+		return float64(p.Kept) / float64(p.Of)
+	}
+	return cmp.Or(cmp.Compare(share(a.By[0]), share(b.By[0])), cmp.Compare(a.Name, b.Name))
+}
+
+// PrintServed writes classes and teams as a table, the least served first.
+func PrintServed(w io.Writer, classes, teams []Served) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for k, list := range [][]Served{classes, teams} {
+		slices.SortFunc(list, worst)
+		fmt.Fprintf(t, "%s\tjobs\tcancelled\tstarted\tdone\ttasks done", [...]string{"class", "team"}[k])
+		for _, times := range Times {
+			fmt.Fprintf(t, "\tby %g times its aim", times)
+		}
+		fmt.Fprintln(t, "\tlongest wait")
+		for _, v := range list {
+			fmt.Fprintf(t, "%s\t%d\t%d\t%v\t%v\t%v\t%v\t%v\t%v\t%.1f s\n", v.Name, v.Jobs, v.Cancelled, Part{v.Jobs, v.Started}, Part{v.Jobs, v.Done},
+				Part{v.Tasks, v.TasksDone}, v.By[0], v.By[1], v.By[2], v.LongestS)
+		}
+	}
+	return t.Flush()
+}
+
+// follow takes what a line says of a job's course.
+func (l *Log) follow(at time.Time, f map[string]string) {
+	id := f["job"]
+	if id == "" {
+		id = jobOf(f["task"])
+	}
+	s := l.jobs[id]
+	if s == nil {
+		return
+	}
+	first := func(t *time.Time) {
+		if t.IsZero() || at.Before(*t) {
+			*t = at
+		}
+	}
+	switch f["msg"] {
+	case "task committed":
+		first(&s.started)
+	case "job complete":
+		first(&s.complete)
+	case "job cancelled":
+		first(&s.cancelled)
+	}
+}
--- a/cmd/robinstack/audit.go
+++ b/cmd/robinstack/audit.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"robinstack/audit"
+	"robinstack/config"
 )
 
 // mostProblems is how many unusable lines of a log are shown.
@@ -17,6 +19,7 @@
 func auditCommand() *cobra.Command {
 	var charged float64
 	var asJSON, orders bool
+	var served string
 	cmd := &cobra.Command{
 		Use: "audit LOG...", Short: "Split what the machines cost by what they did", Args: cobra.MinimumNArgs(1),
 		Long: "audit reads the logs of all controllers (- for standard input) and splits the money spent on machines by what they did with their time. Lines that are cut are named, and the rest is used.",
@@ -37,6 +40,9 @@
 				}
 				fmt.Fprintln(cmd.ErrOrStderr(), p)
 			}
+			if served != "" {
+				return printServed(cmd.OutOrStdout(), l, served, asJSON)
+			}
 			bill := l.Bill()
 			if bill.Machines == 0 {
 				return fmt.Errorf("%w: no machine with a price in %d lines of controllers (%d others, %d cut): is LOG_LEVEL info or debug?", errUsage, l.Lines, l.Unknown, len(l.Problems))
@@ -52,10 +58,36 @@
 	}
 	cmd.Flags().Float64Var(&charged, "charged", 0, "what the cloud charged, to set against the sum of the parts")
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print as JSON")
+	cmd.Flags().StringVar(&served, "served", "", "the platform's settings file: tell for each class and team how many jobs were started and done by its aims instead")
 	cmd.Flags().BoolVar(&orders, "orders", false, "also work out how many deadlines another order could have kept")
 	return cmd
 }
 
+// printServed tells who was served, by the users' aims in a settings file.
+func printServed(w io.Writer, l *audit.Log, path string, asJSON bool) error {
+	settings, err := config.Load(path)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	classes, teams := l.Served(func(class string, due time.Duration) time.Duration {
+		var deadline *float64
+		if s := due.Seconds(); due > 0 {
+			deadline = &s
+		}
+		if limits := settings.Limits(class, deadline); len(limits) > 0 {
+			return limits[0]
+		}
+		return 0
+	})
+	if len(classes) == 0 {
+		return fmt.Errorf("%w: no accepted job in %d lines of controllers (%d others, %d cut): is LOG_LEVEL info or debug?", errUsage, l.Lines, l.Unknown, len(l.Problems))
+	}
+	if asJSON {
+		return json.NewEncoder(w).Encode(map[string][]audit.Served{"classes": classes, "teams": teams})
+	}
+	return audit.PrintServed(w, classes, teams)
+}
+
 // openAll returns the files as one stream.
 func openAll(paths []string, stdin io.Reader) (io.Reader, func(), error) {
 	var readers []io.Reader
