--- a/audit/read.go
+++ b/audit/read.go
@@ -237,6 +237,7 @@
 		}
 		m := l.machine(f["machine"])
 		m.spans = append(m.spans, s)
+		l.began(&s)
 		l.ran(&s, f["cause"])
 	}
 	return nil
--- a/audit/served.go
+++ b/audit/served.go
@@ -139,17 +139,33 @@
 	if s == nil {
 		return
 	}
-	first := func(t *time.Time) {
-		if t.IsZero() || at.Before(*t) {
-			*t = at
-		}
-	}
 	switch f["msg"] {
 	case "task committed":
-		first(&s.started)
+		first(&s.started, at)
 	case "job complete":
-		first(&s.complete)
+		first(&s.complete, at)
 	case "job cancelled":
-		first(&s.cancelled)
+		first(&s.cancelled, at)
+	}
+}
+
+// began books the start of a task that has ended: of a commit that its owner answered
+// too late there is no line of its own.
+func (l *Log) began(s *span) {
+	job := l.jobs[s.job]
+	if job == nil {
+		return
+	}
+	at := s.end
+	for _, d := range s.spent {
+		at = at.Add(-d)
+	}
+	first(&job.started, at)
+}
+
+// first keeps the earlier of two moments.
+func first(t *time.Time, at time.Time) {
+	if t.IsZero() || at.Before(*t) {
+		*t = at
 	}
 }
