Peers greet each other when they connect and name the calls they answer

Need: controllers of two versions run side by side during a roll-out, and a call that the other does not know must not be taken for one that may have been carried out. A peer says at connecting what it answers; a call that it does not know is refused here by name (ErrUnknownCall), and one of the time before greetings is told by net/rpc's own answer. A greeting costs a round trip for each connection.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -26,6 +26,9 @@
 	"robinstack/worker"
 )
 
+// build names this version to other controllers.
+const build = "0.2.0"
+
 // nodeTTL is how long the state service keeps a controller that does not renew.
 const nodeTTL = 4 * time.Second
 
@@ -122,13 +125,14 @@
 	for _, p := range c.settings.Peers {
 		addresses[p.Host] = p.Address
 	}
-	network := peer.New(c.settings.Host, addresses, server)
+	greeter := peer.NewService(c.settings.Host, build, map[string]any{"Agent": (*agent.Service)(nil), "Placer": (*placer.Service)(nil), "Steward": (*steward.Service)(nil)})
+	network := peer.New(c.settings.Host, addresses, server, greeter)
 	defer network.Close()
 	ag = agent.New(c.settings, c.store, mirror, member, c.workers, c.catalogue.Types)
 	pl = placer.New(c.settings, c.policy, c.store, mirror, member, network, c.catalogue.Types)
 	pl.Clock = clock
 	st = steward.New(c.settings, c.policy, mirror, member, network, c.cloud, c.catalogue)
-	for name, service := range map[string]any{"Agent": agent.NewService(ag), "Placer": placer.NewService(pl), "Steward": steward.NewService(st)} {
+	for name, service := range map[string]any{"Agent": agent.NewService(ag), "Placer": placer.NewService(pl), "Steward": steward.NewService(st), "Peer": greeter} {
 		if err := server.RegisterName(name, service); err != nil {
 			return fmt.Errorf("registering %s: %w", name, err)
 		}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -18,6 +18,7 @@
 // Network calls the services of all controllers, this one included.
 type Network struct {
 	self      string
+	mine      Greeting
 	addresses map[string]string
 	local     *rpc.Client
 	links     map[string]*link
@@ -27,14 +28,16 @@
 type link struct {
 	mu     sync.Mutex
 	client *rpc.Client
+	theirs Greeting
 	failed time.Time // a peer that just refused or hung is not dialled again at once
 }
 
-// New returns a network; server answers the calls of this controller to itself.
-func New(self string, addresses map[string]string, server *rpc.Server) *Network {
+// New returns a network; server answers the calls of this controller to itself, and mine
+// is how it greets others.
+func New(self string, addresses map[string]string, server *rpc.Server, mine *Service) *Network {
 	ours, theirs := net.Pipe()
 	go server.ServeConn(theirs)
-	n := &Network{self: self, addresses: addresses, local: rpc.NewClient(ours), links: map[string]*link{}}
+	n := &Network{self: self, mine: mine.mine, addresses: addresses, local: rpc.NewClient(ours), links: map[string]*link{}}
 	for host := range addresses {
 		n.links[host] = &link{}
 	}
@@ -49,24 +52,31 @@
 	}
 }
 
-func (l *link) get(address string) (*rpc.Client, error) {
+func (l *link) get(address string, mine Greeting) (*rpc.Client, Greeting, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.client != nil {
-		return l.client, nil
+		return l.client, l.theirs, nil
 	}
 	if time.Since(l.failed) < 500*time.Millisecond {
-		return nil, errors.New("peer was not reachable just now")
+		return nil, Greeting{}, errors.New("peer was not reachable just now")
 	}
 	// The lock is one link's own: callers of a silent peer would only dial
 	// the same address beside each other.
 	conn, err := net.DialTimeout("tcp4", address, 700*time.Millisecond)
 	if err != nil {
 		l.failed = time.Now()
-		return nil, err
+		return nil, Greeting{}, err
 	}
-	l.client = rpc.NewClient(conn)
-	return l.client, nil
+	client := rpc.NewClient(conn)
+	theirs, err := greet(client, mine)
+	if err != nil {
+		client.Close()
+		l.failed = time.Now()
+		return nil, Greeting{}, err
+	}
+	l.client, l.theirs = client, theirs
+	return client, theirs, nil
 }
 
 // drop closes the connection if it is still the one that failed.
@@ -80,7 +90,8 @@
 }
 
 // Call runs method at host and waits until ctx ends. An error that wraps
-// ErrNoAnswer leaves open whether the call was carried out.
+// ErrNoAnswer leaves open whether the call was carried out; one that wraps
+// ErrUnknownCall says that this peer's version does not know it.
 func (n *Network) Call(ctx context.Context, host, method string, args, reply any) error {
 	client := n.local
 	var l *link
@@ -90,9 +101,13 @@
 			return fmt.Errorf("no peer %q", host)
 		}
 		var err error
-		if client, err = l.get(n.addresses[host]); err != nil {
+		var theirs Greeting
+		if client, theirs, err = l.get(n.addresses[host], n.mine); err != nil {
 			return fmt.Errorf("reaching %s: %w", host, err)
 		}
+		if !theirs.knows(method) {
+			return fmt.Errorf("%s at %s (build %s): %w", method, host, theirs.Build, ErrUnknownCall)
+		}
 	}
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
@@ -101,7 +116,10 @@
 			return nil
 		}
 		var answered rpc.ServerError
-		if errors.As(call.Error, &answered) {
+		switch {
+		case unknownCall(call.Error):
+			return fmt.Errorf("%s at %s: %w: %w", method, host, ErrUnknownCall, call.Error)
+		case errors.As(call.Error, &answered):
 			return call.Error
 		}
 		if l != nil {
