--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -61,7 +61,7 @@
 	if err := mirror.Load(ctx); err != nil {
 		t.Fatal(err)
 	}
-	member, err := statekv.Join(ctx, state, mirror, host, 4*time.Second)
+	member, err := statekv.Join(ctx, state, mirror, host, 4*time.Second, statekv.Registration{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/agent/learn.go
+++ b/agent/learn.go
@@ -74,7 +74,11 @@
 		}
 		rec, err := job.ParseRecord(kv.Value)
 		if err != nil {
-			return err
+			// Nothing is known of the job, so its tasks are left alone; the records
+			// of others must not wait for it.
+			a.mirror.Unreadable(kv.Key, err)
+			delete(ids, id)
+			continue
 		}
 		found[id] = rec
 		delete(ids, id)
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -41,23 +41,33 @@
 // cannot reach their owner.
 const ownShards = 2
 
-// ParseKey reads a key for the mirror, once for all who look at it.
+// KeyForm is the form of the keys of machines and shards that this build writes and
+// reads.
+const KeyForm = 0
+
+// ParseKey reads a key for the mirror, once for all who look at it. An error says why
+// a machine's or a shard's key cannot be read.
 func ParseKey(key string, value json.RawMessage) any {
 	switch {
 	case strings.HasPrefix(key, statekv.MachinePrefix):
-		var k MachineKey
-		if json.Unmarshal(value, &k) == nil {
-			return &k
-		}
+		return parseAs[MachineKey]("a machine's key", value)
 	case strings.HasPrefix(key, statekv.ShardPrefix):
-		var k ShardKey
-		if json.Unmarshal(value, &k) == nil {
-			return &k
-		}
+		return parseAs[ShardKey]("a shard's key", value)
 	}
 	return nil
 }
 
+func parseAs[T any](kind string, value json.RawMessage) any {
+	v := new(T)
+	if err := json.Unmarshal(value, v); err != nil {
+		return fmt.Errorf("%s: %w", kind, err)
+	}
+	if err := statekv.CheckForm(kind, value, KeyForm); err != nil {
+		return err
+	}
+	return v
+}
+
 func parsed[T any](kv statekv.KV) *T {
 	if k, ok := kv.Parsed.(*T); ok {
 		return k
@@ -474,7 +484,8 @@
 				// it then would have two owners with one token.
 				when = append(when, shard)
 			}
-			then = append(then, statekv.Op{Set: statekv.MachinePrefix + c.name, Value: c.key})
+			was, _ := a.mirror.Get(statekv.MachinePrefix + c.name)
+			then = append(then, statekv.Op{Set: statekv.MachinePrefix + c.name, Value: statekv.Keep(was.Value, c.key)})
 		}
 		tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 		rev, err := a.member.Write(tctx, when, then)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -20,15 +20,13 @@
 	"robinstack/peer"
 	"robinstack/placer"
 	"robinstack/policy"
+	"robinstack/rollout"
 	"robinstack/serving"
 	"robinstack/statekv"
 	"robinstack/steward"
 	"robinstack/worker"
 )
 
-// build names this version to other controllers.
-const build = "0.2.0"
-
 // nodeTTL is how long the state service keeps a controller that does not renew.
 const nodeTTL = 4 * time.Second
 
@@ -37,6 +35,7 @@
 	settings  *config.Settings
 	policy    *policy.Policy
 	store     *statekv.Client
+	moves     *statekv.Client // for moves of stored values, beside what controllers share
 	cloud     cloud.API
 	workers   worker.Commander
 	catalogue *cloud.Catalogue
@@ -49,6 +48,7 @@
 	c := &Controller{
 		settings: settings, policy: pol, catalogue: &cloud.Catalogue{},
 		store:   statekv.NewClient(settings.StateAddress, 0.75*settings.State.RPS, 0.9*settings.State.WriteRPS, settings.Controllers),
+		moves:   statekv.NewClient(settings.StateAddress, 0.05*settings.State.RPS, 2*rollout.MoveShare*settings.State.WriteRPS, 1),
 		cloud:   cloud.NewClient(settings.CloudAddress, 0.8*settings.CloudRPS),
 		workers: worker.NewClient(),
 	}
@@ -65,14 +65,25 @@
 	}
 	go c.pauses.watch(ctx)
 	go func() {
+		told := ""
 		for ctx.Err() == nil {
-			if err := c.live(ctx, serving.NewClock(time.Now())); err != nil && ctx.Err() == nil {
-				slog.Info("life ended", "err", err)
-			}
+			err := c.live(ctx, serving.NewClock(time.Now()))
 			c.gateway.SetLife(nil)
+			pause := 300 * time.Millisecond
+			if err != nil && ctx.Err() == nil {
+				if told != err.Error() || !rollout.IsRefused(err) {
+					slog.Info("life ended", "err", err)
+				}
+				told = err.Error()
+			}
+			if rollout.IsRefused(err) {
+				// Not ready, with the reason, until the level is another one.
+				c.gateway.SetWaiting(err.Error())
+				pause = 2 * time.Second
+			}
 			select {
 			case <-ctx.Done():
-			case <-time.After(300 * time.Millisecond):
+			case <-time.After(pause):
 			}
 		}
 	}()
@@ -96,10 +107,10 @@
 		for _, e := range events {
 			if strings.HasPrefix(e.Key(), job.OpenPrefix) {
 				pl.OnJobEvent(e)
-			} else if id, ok := strings.CutPrefix(e.Set, job.FinalPrefix); ok {
-				c.gateway.OnFinal(id, e.Value)
 			} else if slot, ok := strings.CutPrefix(e.Set, statekv.SlotPrefix); ok {
 				ag.SlotMoved(slot)
+			} else {
+				c.gateway.OnEnded(e.Set, e.Value)
 			}
 		}
 	})
@@ -113,10 +124,16 @@
 			c.catalogue.Set(types)
 		}
 	}
-	member, err := statekv.Join(ctx, c.store, mirror, c.settings.Host, nodeTTL)
+	caps := rollout.OurCaps()
+	reg, err := rollout.Register(mirror, caps)
+	if err != nil {
+		return err
+	}
+	member, err := statekv.Join(ctx, c.store, mirror, c.settings.Host, nodeTTL, reg)
 	if err != nil {
 		return err
 	}
+	c.gateway.SetWaiting("")
 	clock.Mark(serving.Life)
 	slog.Info("life begun", "host", member.Host, "instance", member.Instance)
 
@@ -125,7 +142,7 @@
 	for _, p := range c.settings.Peers {
 		addresses[p.Host] = p.Address
 	}
-	greeter := peer.NewService(c.settings.Host, build, map[string]any{"Agent": (*agent.Service)(nil), "Placer": (*placer.Service)(nil), "Steward": (*steward.Service)(nil)})
+	greeter := peer.NewService(c.settings.Host, rollout.Build, map[string]any{"Agent": (*agent.Service)(nil), "Placer": (*placer.Service)(nil), "Steward": (*steward.Service)(nil)})
 	network := peer.New(c.settings.Host, addresses, server, greeter)
 	defer network.Close()
 	ag = agent.New(c.settings, c.store, mirror, member, c.workers, c.catalogue.Types)
@@ -137,6 +154,8 @@
 			return fmt.Errorf("registering %s: %w", name, err)
 		}
 	}
+	gate := rollout.NewGate(c.settings.Hosts(), c.policy, mirror, member, c.store, st.Epoch)
+	mover := rollout.NewMover(c.moves, mirror, member, st.Epoch, c.settings.State.TxnOps, rollout.MoveShare*c.settings.State.WriteRPS)
 	feed := agent.NewFeed(network, mirror, c.settings.Hosts(), func() uint64 { return max(pl.Epoch(), st.Epoch()) }, func(entries []agent.Entry) {
 		pl.OnEntries(entries)
 		st.OnEntries(entries)
@@ -159,7 +178,9 @@
 	duties.Go(func() { feed.Run(ctx) })
 	duties.Go(func() { pl.Run(ctx, feed) })
 	duties.Go(func() { st.Run(ctx, feed) })
-	c.gateway.SetLife(&gateway.Life{Member: member, Mirror: mirror, Agent: ag, Placer: pl, Steward: st, Feed: feed, Call: network, Clock: clock})
+	duties.Go(func() { gate.Run(ctx) })
+	duties.Go(func() { mover.Run(ctx) })
+	c.gateway.SetLife(&gateway.Life{Member: member, Mirror: mirror, Agent: ag, Placer: pl, Steward: st, Feed: feed, Gate: gate, Levels: rollout.NewReader(mirror), Call: network, Clock: clock})
 	err = <-lost
 	c.gateway.SetLife(nil)
 	cancel()
--- /dev/null
+++ b/ended/ended.go
@@ -0,0 +1,174 @@
+// Package ended owns the records of jobs that are over. They are kept for ever, so
+// they are small and nobody mirrors them: a job's final answer never changes, so
+// what was read once may be told at any time.
+//
+// They have two forms. The former one is an object under robin/final/; the other, two
+// fifths of its size, a list under robin/ended/ that begins with its form. Which of
+// them are written goes by the level of the fleet; both are always read. A job has at
+// most one final record, whatever its form: whoever writes one has the condition that
+// its open record is as it was seen, and that goes with it.
+package ended
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"robinstack/job"
+	"robinstack/statekv"
+)
+
+// Keys of the state service.
+const (
+	FormerPrefix = "robin/final/"
+	Prefix       = "robin/ended/"
+)
+
+// Form is the form of the records under Prefix.
+const Form = 1
+
+// Record is what remains of a job that is over.
+type Record struct {
+	Status string // job.Done or job.Cancelled
+	Tasks  int
+}
+
+// former is a record under FormerPrefix.
+type former struct {
+	Status string `json:"status"`
+	Tasks  int    `json:"tasks"`
+}
+
+// Letters of the compact form.
+var letters = map[string]string{job.Done: "d", job.Cancelled: "w"}
+
+// FormerKey and Key name a job's record in its two forms.
+func FormerKey(id string) string { return FormerPrefix + id }
+func Key(id string) string       { return Prefix + id }
+
+// Writing says in which forms records are written.
+type Writing int
+
+// Former only; Both, so that either form may be given up; Compact only.
+const (
+	Former Writing = iota
+	Both
+	Compact
+)
+
+// Ops are the changes that write a record.
+func Ops(id string, r Record, w Writing) []statekv.Op {
+	var ops []statekv.Op
+	if w != Compact {
+		ops = append(ops, r.formerOp(id))
+	}
+	if w != Former {
+		ops = append(ops, r.op(id))
+	}
+	return ops
+}
+
+func (r Record) formerOp(id string) statekv.Op {
+	return statekv.Op{Set: FormerKey(id), Value: former{r.Status, r.Tasks}}
+}
+
+func (r Record) op(id string) statekv.Op {
+	return statekv.Op{Set: Key(id), Value: [3]any{Form, letters[r.Status], r.Tasks}}
+}
+
+// Absent are the conditions that a job is not over.
+func Absent(id string) []statekv.Cond {
+	return []statekv.Cond{{Key: FormerKey(id)}, {Key: Key(id)}}
+}
+
+// Parse reads a record by its key. ok is false where the key is no ended job's. An
+// error says that the value is damaged or has a form that this build does not read; a
+// *statekv.FormError is the latter.
+func Parse(key string, raw json.RawMessage) (id string, r Record, ok bool, err error) {
+	if id, ok = strings.CutPrefix(key, FormerPrefix); ok {
+		var f former
+		if err = statekv.CheckForm("an ended job's record", raw, 0); err == nil {
+			err = json.Unmarshal(raw, &f)
+		}
+		r = Record(f)
+	} else if id, ok = strings.CutPrefix(key, Prefix); ok {
+		r, err = parseCompact(raw)
+	} else {
+		return "", r, false, nil
+	}
+	if err == nil && (letters[r.Status] == "" || r.Tasks < 1 || r.Tasks > job.MaxTasks) {
+		err = errors.New("no final status, or no number of tasks")
+	}
+	if err != nil {
+		err = fmt.Errorf("%s: %w", key, err)
+	}
+	return id, r, true, err
+}
+
+func parseCompact(raw json.RawMessage) (r Record, err error) {
+	var list []json.RawMessage
+	if err := json.Unmarshal(raw, &list); err != nil || len(list) == 0 {
+		return r, errors.New("is no list")
+	}
+	var form int
+	if err := json.Unmarshal(list[0], &form); err != nil {
+		return r, fmt.Errorf("its form: %w", err)
+	}
+	if form != Form {
+		return r, &statekv.FormError{Kind: "an ended job's record", Form: form, Known: Form}
+	}
+	var letter string
+	if len(list) < 3 || json.Unmarshal(list[1], &letter) != nil || json.Unmarshal(list[2], &r.Tasks) != nil {
+		return r, errors.New("is not form, status and tasks")
+	}
+	for status, l := range letters {
+		if l == letter {
+			r.Status = status
+		}
+	}
+	return r, nil
+}
+
+// Store is what reading needs of the state service.
+type Store interface {
+	Get(ctx context.Context, key string) (statekv.KV, error)
+	Txn(ctx context.Context, when []statekv.Cond, then []statekv.Op) (uint64, error)
+}
+
+// Read returns the record of a job that is over. statekv.ErrNotFound says that the job
+// was not over at some moment since the call, and that fence held at it.
+//
+// The fence is the condition of the reader's own life. A record may change its form at
+// any time, between two reads as well, so that its absence under both keys is found
+// out by one transaction without changes; and a controller that stood still while the
+// fleet went on to forms that it does not know is no part of it any more, so the fence
+// keeps it from telling a user that an accepted job is unknown.
+func Read(ctx context.Context, store Store, fence []statekv.Cond, id string) (Record, error) {
+	for range 3 {
+		_, err := store.Txn(ctx, append(slices.Clone(fence), Absent(id)...), nil)
+		var conflict *statekv.Conflict
+		switch {
+		case err == nil:
+			return Record{}, statekv.ErrNotFound
+		case !errors.As(err, &conflict):
+			return Record{}, err
+		}
+		at := slices.IndexFunc([]string{Key(id), FormerKey(id)}, func(key string) bool { return slices.Contains(conflict.Failed, key) })
+		if at < 0 {
+			return Record{}, fmt.Errorf("%w: this life is over", statekv.ErrRefused)
+		}
+		kv, err := store.Get(ctx, [...]string{Key(id), FormerKey(id)}[at])
+		if errors.Is(err, statekv.ErrNotFound) {
+			continue // it changed its form meanwhile
+		}
+		if err != nil {
+			return Record{}, err
+		}
+		_, r, _, err := Parse(kv.Key, kv.Value)
+		return r, err
+	}
+	return Record{}, fmt.Errorf("%w: the record of %s keeps changing its form", statekv.ErrRefused, id)
+}
--- a/fakes/state.go
+++ b/fakes/state.go
@@ -124,6 +124,9 @@
 	if failed != nil {
 		return 0, &statekv.Conflict{Failed: failed}
 	}
+	if len(then) == 0 {
+		return s.rev, nil // it only compares
+	}
 	s.rev++
 	s.changes += len(then)
 	for _, op := range then {
@@ -194,8 +197,9 @@
 	for {
 		s.mu.Lock()
 		n := statekv.News{Rev: s.rev}
-		for _, e := range s.events {
-			if e.Rev > since && strings.HasPrefix(e.Key(), prefix) {
+		from := sort.Search(len(s.events), func(k int) bool { return s.events[k].Rev > since })
+		for _, e := range s.events[from:] {
+			if strings.HasPrefix(e.Key(), prefix) {
 				n.Events = append(n.Events, e)
 			}
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,8 +17,10 @@
 	"robinstack/agent"
 	"robinstack/cloud"
 	"robinstack/config"
+	"robinstack/ended"
 	"robinstack/job"
 	"robinstack/placer"
+	"robinstack/rollout"
 	"robinstack/serving"
 	"robinstack/statekv"
 	"robinstack/steward"
@@ -33,6 +35,8 @@
 	Placer  *placer.Placer
 	Steward *steward.Steward
 	Feed    *agent.Feed
+	Gate    *rollout.Gate
+	Levels  *rollout.Reader
 	Call    agent.Caller
 	Clock   *serving.Clock
 }
@@ -43,6 +47,7 @@
 	store     statekv.Store
 	catalogue *cloud.Catalogue
 	life      atomic.Pointer[Life]
+	noLife    atomic.Pointer[string] // why there is none
 	app       *fiber.App
 	latencies *latencies
 	pauses    func() (count int, longest time.Duration)
@@ -50,7 +55,7 @@
 	asking  atomic.Int64 // queries that are being answered
 	refused atomic.Int64 // queries refused because too many came
 	mu      sync.Mutex
-	finals  map[string]job.Final // answers that never change any more
+	finals  map[string]ended.Record // answers that never change any more
 }
 
 // maxFinals bounds the cache of final answers.
@@ -64,7 +69,7 @@
 
 // New returns a gateway that has no life to serve yet.
 func New(settings *config.Settings, store statekv.Store, catalogue *cloud.Catalogue, pauses func() (int, time.Duration)) *Gateway {
-	g := &Gateway{settings: settings, store: store, catalogue: catalogue, latencies: newLatencies(), pauses: pauses, finals: map[string]job.Final{}}
+	g := &Gateway{settings: settings, store: store, catalogue: catalogue, latencies: newLatencies(), pauses: pauses, finals: map[string]ended.Record{}}
 	g.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		JSONEncoder:           json.Marshal,
@@ -91,6 +96,8 @@
 	g.app.Get("/submissions/:id", g.latencies.timed("query", g.query))
 	g.app.Post("/submissions/:id/abort", g.latencies.timed("cancellation", g.cancel))
 	g.app.Get("/status.json", g.status)
+	g.app.Get("/rollout.json", g.rollout)
+	g.app.Post("/rollout/:verb", g.rolloutDo)
 	return g
 }
 
@@ -143,7 +150,7 @@
 func (g *Gateway) ready(c *fiber.Ctx) error {
 	l := g.life.Load()
 	if l == nil || len(g.catalogue.Types()) == 0 {
-		return fail(c, fiber.StatusServiceUnavailable, "starting")
+		return fail(c, fiber.StatusServiceUnavailable, g.startingWhy())
 	}
 	if _, _, ok := l.Placer.Home(); !ok {
 		return fail(c, fiber.StatusServiceUnavailable, "starting")
@@ -162,14 +169,14 @@
 	Running int    `json:"running"`
 }
 
-func (g *Gateway) final(id string) (job.Final, bool) {
+func (g *Gateway) final(id string) (ended.Record, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f, ok := g.finals[id]
 	return f, ok
 }
 
-func (g *Gateway) keepFinal(id string, f job.Final) {
+func (g *Gateway) keepFinal(id string, f ended.Record) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for old := range g.finals {
@@ -181,7 +188,7 @@
 	g.finals[id] = f
 }
 
-func finalStatus(id string, f job.Final) jobStatus {
+func finalStatus(id string, f ended.Record) jobStatus {
 	s := jobStatus{ID: id, Status: f.Status}
 	if f.Status == job.Done {
 		s.Done = f.Tasks
@@ -189,14 +196,26 @@
 	return s
 }
 
-// OnFinal keeps the answer for a job that is over.
-func (g *Gateway) OnFinal(id string, value json.RawMessage) {
-	var f job.Final
-	if err := json.Unmarshal(value, &f); err != nil {
-		slog.Error("final record", "job", id, "err", err)
-		return
-	}
-	g.keepFinal(id, f)
+// OnEnded keeps the answer for a job that is over, if key is the record of one.
+func (g *Gateway) OnEnded(key string, value json.RawMessage) {
+	id, f, ok, err := ended.Parse(key, value)
+	switch {
+	case !ok:
+	case err != nil:
+		slog.Error("a value cannot be read; it is left as it is", "key", key, "err", err)
+	default:
+		g.keepFinal(id, f)
+	}
+}
+
+// readEnded reads the record of a job that is over. Only a controller whose life goes
+// on can tell that there is none: see ended.Read.
+func (g *Gateway) readEnded(ctx context.Context, id string) (ended.Record, error) {
+	l := g.life.Load()
+	if l == nil {
+		return ended.Record{}, fmt.Errorf("%w: starting", statekv.ErrRefused)
+	}
+	return ended.Read(ctx, g.store, []statekv.Cond{l.Member.Cond()}, id)
 }
 
 // openRecord returns the record of an open job as of now, so that no answer is
@@ -229,12 +248,12 @@
 		if !g.store.Room(statekv.Lookups, 1) {
 			return jobStatus{}, fmt.Errorf("%w: too many questions about jobs that are over or unknown", statekv.ErrRefused)
 		}
-		f, err := job.ReadFinal(ctx, g.store, id)
+		f, err := g.readEnded(ctx, id)
 		if err != nil {
 			return jobStatus{}, err
 		}
-		g.keepFinal(id, *f)
-		return finalStatus(id, *f), nil
+		g.keepFinal(id, f)
+		return finalStatus(id, f), nil
 	}
 	if err != nil {
 		return jobStatus{}, err
@@ -258,7 +277,7 @@
 	}
 	rec, err := job.ParseRecord(open.Value)
 	if err != nil {
-		slog.Error("job record", "key", open.Key, "err", err)
+		l.Mirror.Unreadable(open.Key, err)
 		return 0, 0
 	}
 	var h statekv.Holder
@@ -298,7 +317,7 @@
 		return later(c, "starting")
 	}
 	rec := &job.Record{Spec: *spec, Slot: slot, Submitted: time.Now().UnixMilli()}
-	rev, err := l.Member.Write(ctx, []statekv.Cond{{Key: job.OpenKey(spec.ID)}, {Key: job.FinalKey(spec.ID)}, {Key: statekv.SlotPrefix + slot, Rev: epoch}},
+	rev, err := l.Member.Write(ctx, append(ended.Absent(spec.ID), statekv.Cond{Key: job.OpenKey(spec.ID)}, statekv.Cond{Key: statekv.SlotPrefix + slot, Rev: epoch}),
 		[]statekv.Op{{Set: job.OpenKey(spec.ID), Value: rec}})
 	if err == nil {
 		l.Placer.Accepted(rec, rev)
@@ -355,7 +374,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Context(), 3500*time.Millisecond)
 	defer cancel()
-	answer := func(f job.Final) error {
+	answer := func(f ended.Record) error {
 		g.keepFinal(id, f)
 		return c.JSON(fiber.Map{"id": id, "status": f.Status})
 	}
@@ -369,28 +388,31 @@
 		}
 		kv, err := g.openRecord(ctx, id)
 		if errors.Is(err, statekv.ErrNotFound) {
-			f, err := job.ReadFinal(ctx, g.store, id)
+			f, err := g.readEnded(ctx, id)
 			if errors.Is(err, statekv.ErrNotFound) {
 				return fail(c, fiber.StatusNotFound, "no such job")
 			}
 			if err != nil {
 				break
 			}
-			return answer(*f)
+			return answer(f)
 		}
 		if err != nil {
 			break
 		}
 		rec, err := job.ParseRecord(kv.Value)
 		if err != nil {
-			return err
+			// Whoever can read it can cancel it.
+			l.Mirror.Unreadable(kv.Key, err)
+			break
 		}
-		f := job.Final{Status: job.Cancelled, Tasks: rec.Spec.Tasks}
-		then := []statekv.Op{{Delete: job.OpenKey(id)}, {Set: job.FinalKey(id), Value: f}}
+		f := ended.Record{Status: job.Cancelled, Tasks: rec.Spec.Tasks}
+		level, unchanged := l.Levels.Now()
+		then := append([]statekv.Op{{Delete: job.OpenKey(id)}}, ended.Ops(id, f, level.Writes())...)
 		for k := 1; k < job.Chunks(rec.Spec.Tasks); k++ {
 			then = append(then, statekv.Op{Delete: job.PartKey(id, k)})
 		}
-		_, err = l.Member.Write(ctx, []statekv.Cond{{Key: job.OpenKey(id), Rev: kv.Rev}}, then)
+		_, err = l.Member.Write(ctx, []statekv.Cond{{Key: job.OpenKey(id), Rev: kv.Rev}, unchanged}, then)
 		if err == nil {
 			return answer(f)
 		}
--- /dev/null
+++ b/gateway/rollout.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"robinstack/rollout"
+)
+
+// rollout tells how the roll-out stands.
+func (g *Gateway) rollout(c *fiber.Ctx) error {
+	l := g.life.Load()
+	if l == nil {
+		return later(c, g.startingWhy())
+	}
+	return c.JSON(l.Gate.Status())
+}
+
+// rolloutDo carries out the command of a person: 200 once it is done, 409 with what
+// stands in its way, 503 where nobody can tell.
+func (g *Gateway) rolloutDo(c *fiber.Ctx) error {
+	l := g.life.Load()
+	if l == nil {
+		return later(c, g.startingWhy())
+	}
+	ctx, cancel := context.WithTimeout(c.Context(), 4*time.Second)
+	defer cancel()
+	err := l.Gate.Do(ctx, c.Params("verb"), c.Query("why"))
+	var stuck *rollout.Stuck
+	switch {
+	case errors.As(err, &stuck):
+		return fail(c, fiber.StatusConflict, stuck.Why)
+	case err != nil:
+		return later(c, err.Error())
+	}
+	return c.JSON(l.Gate.Status())
+}
+
+// SetWaiting says why this controller has no life, for those who ask meanwhile.
+func (g *Gateway) SetWaiting(why string) { g.noLife.Store(&why) }
+
+func (g *Gateway) startingWhy() string {
+	if why := g.noLife.Load(); why != nil && *why != "" {
+		return *why
+	}
+	return "starting"
+}
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -13,6 +13,7 @@
 	"robinstack/agent"
 	"robinstack/job"
 	"robinstack/placer"
+	"robinstack/rollout"
 	"robinstack/steward"
 	"robinstack/worker"
 )
@@ -32,6 +33,8 @@
 
 	Serving map[string]float64 `json:"serving_again_here_s"` // steps since the start or the last lease lost
 
+	Rollout rollout.Status `json:"rollout"`
+
 	Fleet      []PoolStatus     `json:"fleet"`
 	Machines   []MachineStatus  `json:"machines,omitempty"`
 	Waiting    []placer.Waiting `json:"waiting"`
@@ -84,9 +87,9 @@
 func (g *Gateway) status(c *fiber.Ctx) error {
 	l := g.life.Load()
 	if l == nil {
-		return later(c, "starting")
+		return later(c, g.startingWhy())
 	}
-	s := Status{Host: g.settings.Host, Ready: l.Member.Certain(), Steward: l.Placer.StewardHost(), Placer: l.Placer.CountersNow(), Agent: l.Agent.CountersNow(), Serving: l.Clock.Seconds()}
+	s := Status{Rollout: l.Gate.Status(), Host: g.settings.Host, Ready: l.Member.Certain(), Steward: l.Placer.StewardHost(), Placer: l.Placer.CountersNow(), Agent: l.Agent.CountersNow(), Serving: l.Clock.Seconds()}
 	entries := l.Feed.Entries()
 	held := map[string]job.Need{}
 	for i := range entries {
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -1,11 +1,15 @@
 package job
 
 import (
+	"encoding/json"
+	"errors"
+	"reflect"
 	"strings"
 	"testing"
 
 	"robinstack/cloud"
 	"robinstack/config"
+	"robinstack/statekv"
 )
 
 const good = `{"id":"wk-000412","job_class":"train","owner":"vision","shape":"gang","rank":"high","pieces":16,"cpus":8.0,"gpus":1.0,"mem_gb":64.0,"bundle":"img-07","pull_gb":6.2,"host_kinds":["g8"],"site":null,"one_zone":true,"spread":false,"loaners":true,"guess_s":240.0,"snapshot_every_s":30.0,"snapshot_s":4.0,"due_s":900.0,"new_field":1}`
@@ -82,3 +86,33 @@
 		}
 	}
 }
+
+// What a later version wrote into a record, beside what this one knows and within the
+// spec, is there again after this one has rewritten it; and a record without anything
+// unknown is written as it always was.
+func TestRecordsKeepWhatTheyDoNotKnow(t *testing.T) {
+	plain := `{"spec":{"id":"wk-1","job_class":"c","owner":"t","shape":"sweep","rank":"high","pieces":3,"cpus":1,"gpus":0,"mem_gb":1,"bundle":"i","pull_gb":1,"host_kinds":null,"site":null,"one_zone":false,"spread":false,"loaners":true,"guess_s":5,"snapshot_every_s":0,"snapshot_s":0,"due_s":null},"slot":"s","submitted_ms":7,"done":"Aw"}`
+	later := strings.Replace(strings.Replace(plain, `"slot"`, `"colour":"blue","slot"`, 1), `"owner"`, `"price_cap":3,"owner"`, 1)
+	for _, raw := range []string{plain, later} {
+		rec, err := ParseRecord([]byte(raw))
+		if err != nil {
+			t.Fatal(err)
+		}
+		rec.Done = "Bw"
+		out, err := json.Marshal(rec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got, want any
+		if json.Unmarshal(out, &got) != nil || json.Unmarshal([]byte(strings.Replace(raw, "Aw", "Bw", 1)), &want) != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s\nbecame %s", raw, out)
+		}
+		if raw == plain && string(out) != strings.Replace(plain, "Aw", "Bw", 1) {
+			t.Errorf("a plain record is written as %s", out)
+		}
+	}
+	var form *statekv.FormError
+	if _, err := ParseRecord([]byte(strings.Replace(plain, `{"spec"`, `{"form":1,"spec"`, 1))); !errors.As(err, &form) {
+		t.Error(err)
+	}
+}
--- a/job/record.go
+++ b/job/record.go
@@ -1,7 +1,6 @@
 package job
 
 import (
-	"context"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
@@ -11,14 +10,16 @@
 	"robinstack/statekv"
 )
 
-// Keys of the state service. Open jobs and ended ones are kept apart, so that
-// adopting a slot never reads the whole past.
+// Keys of the state service. Open jobs and ended ones (package ended) are kept
+// apart, so that adopting a slot never reads the whole past.
 const (
-	OpenPrefix  = "robin/job/"
-	FinalPrefix = "robin/final/"
-	partPrefix  = "robin/part/"
+	OpenPrefix = "robin/job/"
+	partPrefix = "robin/part/"
 )
 
+// RecordForm is the form of job records that this build writes and reads.
+const RecordForm = 0
+
 // Record is an unfinished job in the state service. Done holds the finished
 // tasks of the first chunk; the other chunks have keys of their own.
 type Record struct {
@@ -26,21 +27,44 @@
 	Slot      string `json:"slot"`
 	Submitted int64  `json:"submitted_ms"`
 	Done      string `json:"done,omitempty"`
+
+	// Failed is what is known of a job of which nothing has succeeded yet.
+	Failed *Failures `json:"failed,omitempty"`
+
+	// What a later version wrote, beside these and in the spec; it is kept.
+	Rest     statekv.Rest `json:"-"`
+	SpecRest statekv.Rest `json:"-"`
+}
+
+// Failures are what a job's placer found out about it, so that its next placer need
+// not fail it on as many machines again.
+type Failures struct {
+	On      []string `json:"on"`      // machines on which it failed, at most MostFailedOn of them
+	Row     int      `json:"row"`     // failures in a row
+	Suspect bool     `json:"suspect"` // it is at fault, and not they
+}
+
+// MostFailedOn bounds the machines that a record names.
+const MostFailedOn = 8
+
+// MarshalJSON writes the record with what a later version wrote.
+func (r Record) MarshalJSON() ([]byte, error) {
+	type plain Record
+	if r.SpecRest == nil && r.Rest == nil {
+		return json.Marshal(struct{ *plain }{(*plain)(&r)})
+	}
+	return json.Marshal(statekv.Keeping{Rest: r.Rest, Value: struct {
+		*plain
+		Spec statekv.Keeping `json:"spec"`
+	}{(*plain)(&r), statekv.Keeping{Value: r.Spec, Rest: r.SpecRest}}})
 }
 
 // SubmittedAt is when the job was accepted, by the clock of the controller
 // that accepted it.
 func (r *Record) SubmittedAt() time.Time { return time.UnixMilli(r.Submitted) }
 
-// Final is the record of a job that is over, kept for ever.
-type Final struct {
-	Status string `json:"status"`
-	Tasks  int    `json:"tasks"`
-}
-
-// OpenKey and FinalKey name a job's records.
-func OpenKey(id string) string  { return OpenPrefix + id }
-func FinalKey(id string) string { return FinalPrefix + id }
+// OpenKey names a job's record.
+func OpenKey(id string) string { return OpenPrefix + id }
 
 // PartKey names the key with a later chunk of a job's finished tasks.
 func PartKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", partPrefix, id, chunk) }
@@ -104,30 +128,22 @@
 
 // ParseRecord reads a record as the state service returned it.
 func ParseRecord(raw json.RawMessage) (*Record, error) {
+	if err := statekv.CheckForm("a job's record", raw, RecordForm); err != nil {
+		return nil, err
+	}
 	var r Record
 	if err := json.Unmarshal(raw, &r); err != nil {
 		return nil, fmt.Errorf("decoding job record: %w", err)
 	}
+	var parts struct {
+		Spec json.RawMessage `json:"spec"`
+	}
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return nil, fmt.Errorf("decoding job record: %w", err)
+	}
+	r.Rest, r.SpecRest = statekv.RestOf(raw, &r), statekv.RestOf(parts.Spec, &r.Spec)
 	if !ValidID(r.Spec.ID) || r.Spec.Tasks < 1 || r.Spec.Tasks > MaxTasks {
 		return nil, fmt.Errorf("job record of %q is damaged", r.Spec.ID)
 	}
 	return &r, nil
 }
-
-// Getter reads one key of the state service.
-type Getter interface {
-	Get(ctx context.Context, key string) (statekv.KV, error)
-}
-
-// ReadFinal reads the record of a job that is over.
-func ReadFinal(ctx context.Context, store Getter, id string) (*Final, error) {
-	kv, err := store.Get(ctx, FinalKey(id))
-	if err != nil {
-		return nil, err
-	}
-	var f Final
-	if err := json.Unmarshal(kv.Value, &f); err != nil {
-		return nil, fmt.Errorf("decoding final record of %s: %w", id, err)
-	}
-	return &f, nil
-}
--- a/placer/failures.go
+++ b/placer/failures.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"robinstack/agent"
 	"robinstack/job"
+	"robinstack/rollout"
 	"robinstack/worker"
 )
 
@@ -44,12 +48,13 @@
 	if j.failedOn == nil {
 		j.failedOn = map[string]bool{}
 	}
+	p.note(j)
 	again := j.failedOn[machine]
 	j.failedOn[machine] = true
 	if !again || j.suspect {
 		j.failures++
 	}
-	j.nextTry = now.Add(min(longestBackoff, time.Second<<min(j.failures, 6)))
+	j.nextTry = now.Add(backoff(j.failures))
 	switch {
 	case j.suspect:
 		p.judge(j, machine, false)
@@ -69,6 +74,57 @@
 	}
 }
 
+// mostNoted is from how many failures in a row on their number is not written any
+// more: the pause between two tries does not grow beyond that.
+const mostNoted = 6
+
+// note has what is known of the job's failures written into its record soon: its next
+// placer would have to fail it on as many machines again.
+func (p *Placer) note(j *jobState) {
+	if j.failures > mostNoted || !p.levels.On(rollout.Failures) {
+		return
+	}
+	j.noted = true
+	if j.dirtyAt.IsZero() {
+		j.dirtyAt = time.Now()
+	}
+}
+
+// record is what is written of an unfinished job. The note of its failures is left out
+// where the value would become too large with it.
+func (p *Placer) record(j *jobState, failures bool) job.Record {
+	rec := job.Record{Spec: *j.spec, Slot: j.slot, Submitted: j.submitted.UnixMilli(), Done: j.done.Chunk(0), Rest: j.rest.Rest, SpecRest: j.rest.SpecRest}
+	if !failures || len(j.failedOn) == 0 {
+		return rec
+	}
+	on := slices.Sorted(maps.Keys(j.failedOn))
+	rec.Failed = &job.Failures{On: on[:min(len(on), job.MostFailedOn)], Row: j.failures, Suspect: j.suspect}
+	if raw, err := json.Marshal(rec); err != nil || len(raw) > p.settings.State.ValueBytes {
+		rec.Failed = nil
+	}
+	return rec
+}
+
+// recall takes up what an earlier placer noted.
+func (j *jobState) recall(f *job.Failures, now time.Time) {
+	if f == nil || j.doneCount > 0 {
+		return
+	}
+	j.failedOn = map[string]bool{}
+	for _, m := range f.On {
+		j.failedOn[m] = true
+		j.avoid = append(j.avoid, m)
+	}
+	j.avoidTill = now.Add(avoidFor)
+	j.failures, j.suspect = f.Row, f.Suspect
+	j.nextTry = now.Add(backoff(f.Row))
+}
+
+// backoff is the pause after so many failures in a row.
+func backoff(failures int) time.Duration {
+	return min(longestBackoff, time.Second<<min(max(0, failures), 6))
+}
+
 // succeeded notes that a task of the job has completed: where others of it
 // failed, the machine was at fault.
 func (p *Placer) succeeded(j *jobState) {
--- a/placer/flush.go
+++ b/placer/flush.go
@@ -7,7 +7,9 @@
 	"slices"
 	"time"
 
+	"robinstack/ended"
 	"robinstack/job"
+	"robinstack/rollout"
 	"robinstack/statekv"
 )
 
@@ -36,13 +38,13 @@
 			if n < maxFlushes {
 				start(j)
 			}
-		case len(j.dirty) > 0 && now.Sub(j.dirtyAt) > foldEvery:
+		case (len(j.dirty) > 0 || j.noted) && now.Sub(j.dirtyAt) > foldEvery:
 			folds = append(folds, j)
 		}
 	}
 	slices.SortFunc(folds, func(a, b *jobState) int { return a.dirtyAt.Compare(b.dirtyAt) })
 	for _, j := range folds {
-		if n >= maxFlushes || !p.store.Room(statekv.Chores, len(j.dirty)) {
+		if n >= maxFlushes || !p.store.Room(statekv.Chores, max(1, len(j.dirty))) {
 			break
 		}
 		start(j)
@@ -62,18 +64,23 @@
 	}
 	final := j.over == job.Done
 	chunks := len(j.dirty)
-	when := []statekv.Cond{{Key: job.OpenKey(id), Rev: j.rev}, {Key: statekv.SlotPrefix + j.slot, Rev: s.epoch}}
+	// Under the level that its form goes by: after a change nothing is written any more
+	// in the form of before.
+	level, unchanged := p.levels.Now()
+	when := []statekv.Cond{{Key: job.OpenKey(id), Rev: j.rev}, {Key: statekv.SlotPrefix + j.slot, Rev: s.epoch}, unchanged}
 	var then []statekv.Op
-	dirty := j.dirty
+	dirty, noted := j.dirty, j.noted
 	j.dirty, j.dirtyAt = map[int]bool{}, time.Time{}
-	ended := len(j.ended)
+	over := len(j.ended)
 	if final {
-		then = append(then, statekv.Op{Delete: job.OpenKey(id)}, statekv.Op{Set: job.FinalKey(id), Value: job.Final{Status: job.Done, Tasks: len(j.tasks)}})
+		then = append(then, statekv.Op{Delete: job.OpenKey(id)})
+		then = append(then, ended.Ops(id, ended.Record{Status: job.Done, Tasks: len(j.tasks)}, level.Writes())...)
 		for k := 1; k < job.Chunks(len(j.tasks)); k++ {
 			then = append(then, statekv.Op{Delete: job.PartKey(id, k)})
 		}
 	} else {
-		rec := job.Record{Spec: *j.spec, Slot: j.slot, Submitted: j.submitted.UnixMilli(), Done: j.done.Chunk(0)}
+		rec := p.record(j, level.Has(rollout.Failures))
+		j.noted = false
 		then = append(then, statekv.Op{Set: job.OpenKey(id), Value: rec})
 		for k := range dirty {
 			if k > 0 {
@@ -109,16 +116,17 @@
 			// Members of a gang that were reported during the write are recorded
 			// with it too: no later write would have them forgotten, and their
 			// machines would never count as idle again.
-			ended = len(j.ended)
+			over = len(j.ended)
 		}
-		p.forgets = append(p.forgets, j.ended[:ended]...)
-		j.ended = j.ended[ended:]
+		p.forgets = append(p.forgets, j.ended[:over]...)
+		j.ended = j.ended[over:]
 		p.dropIfOver(id, j)
 		return
 	}
 	for k := range dirty {
 		j.dirty[k] = true
 	}
+	j.noted = j.noted || noted
 	if j.dirtyAt.IsZero() {
 		j.dirtyAt = time.Now()
 	}
@@ -145,9 +153,9 @@
 	if !errors.Is(err, statekv.ErrNotFound) {
 		return "", 0, err
 	}
-	final, err := job.ReadFinal(ctx, p.store, id)
+	r, err := ended.Read(ctx, p.store, []statekv.Cond{p.member.Cond()}, id)
 	if err != nil {
 		return "", 0, err
 	}
-	return final.Status, 0, nil
+	return r.Status, 0, nil
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -18,6 +18,7 @@
 	"robinstack/config"
 	"robinstack/job"
 	"robinstack/policy"
+	"robinstack/rollout"
 	"robinstack/serving"
 	"robinstack/statekv"
 	"robinstack/steward"
@@ -59,9 +60,10 @@
 	tasks     []taskState
 	done      job.Set
 	doneCount int
-	fresh     bool   // accepted in this life: nothing of it can run unknown to us
-	over      string // final status, once decided
-	recorded  bool   // the final status is durable
+	fresh     bool        // accepted in this life: nothing of it can run unknown to us
+	over      string      // final status, once decided
+	recorded  bool        // the final status is durable
+	rest      *job.Record // as it was read: what a later version wrote in it is kept
 	dirty     map[int]bool
 	dirtyAt   time.Time
 	ended     []agent.StopItem // finished tasks to be forgotten once recorded
@@ -75,6 +77,7 @@
 	failedOn  map[string]bool // machines on which it failed, while none of it has succeeded
 	failures  int             // in a row, since any of it succeeded
 	suspect   bool            // it fails on every machine, as far as known
+	noted     bool            // that is to be written into its record
 
 	patientTill time.Time // until then it waits for machines that have its image
 	patientMost time.Time // and until then for machines that are being cleared
@@ -110,6 +113,7 @@
 	member   *statekv.Member
 	call     agent.Caller
 	types    func() map[string]cloud.MachineType
+	levels   *rollout.Reader
 	feed     *agent.Feed
 	ctx      context.Context
 
@@ -145,7 +149,7 @@
 
 // New returns a placer without slots.
 func New(settings *config.Settings, pol *policy.Policy, store statekv.Store, mirror *statekv.Mirror, member *statekv.Member, call agent.Caller, types func() map[string]cloud.MachineType) *Placer {
-	return &Placer{settings: settings, policy: pol, store: store, mirror: mirror, member: member, call: call, types: types,
+	return &Placer{settings: settings, policy: pol, store: store, mirror: mirror, member: member, call: call, types: types, levels: rollout.NewReader(mirror),
 		jobs: map[string]*jobState{}, slots: map[string]*slotState{}, on: map[string]map[agent.TaskRef]bool{},
 		stops: map[agent.TaskRef]bool{}, others: map[string]bool{},
 		shapes: map[shapeKey]*shape{}, gone: map[string]deleted{}, kick: make(chan struct{}, 1)}
@@ -221,7 +225,7 @@
 // load takes up a job from its record.
 func (p *Placer) load(ctx context.Context, rec *job.Record, rev uint64, fresh bool) error {
 	j := &jobState{spec: &rec.Spec, slot: rec.Slot, rev: rev, submitted: rec.SubmittedAt(), tasks: make([]taskState, rec.Spec.Tasks),
-		done: job.NewSet(rec.Spec.Tasks), fresh: fresh, dirty: map[int]bool{}}
+		done: job.NewSet(rec.Spec.Tasks), fresh: fresh, rest: rec, dirty: map[int]bool{}}
 	if err := j.done.Load(0, rec.Done); err != nil {
 		slog.Error("job record", "job", rec.Spec.ID, "err", err)
 	}
@@ -242,6 +246,7 @@
 		}
 	}
 	j.doneCount = j.done.Len()
+	j.recall(rec.Failed, time.Now())
 	j.limits, j.waits = p.settings.Limits(j.spec.Class, j.spec.DeadlineS), p.settings.Waits(j.spec.Class)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -304,7 +309,7 @@
 	}
 	rec, err := job.ParseRecord(e.Value)
 	if err != nil {
-		slog.Error("job record", "key", e.Key(), "err", err)
+		p.mirror.Unreadable(e.Key(), err)
 		return
 	}
 	p.mu.Lock()
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -213,7 +213,7 @@
 	for _, kv := range p.mirror.Dir(job.OpenPrefix) {
 		rec, err := job.ParseRecord(kv.Value)
 		if err != nil {
-			slog.Error("job record", "key", kv.Key, "err", err)
+			p.mirror.Unreadable(kv.Key, err)
 			continue
 		}
 		if slots[rec.Slot] == nil {
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -12,6 +12,7 @@
 	"robinstack/agent"
 	"robinstack/cloud"
 	"robinstack/config"
+	"robinstack/ended"
 	"robinstack/fakes"
 	"robinstack/job"
 	"robinstack/placer"
@@ -120,7 +121,7 @@
 		w.t.Fatal(err)
 	}
 	var err error
-	if n.member, err = statekv.Join(ctx, w.state, mirror, host, 4*time.Second); err != nil {
+	if n.member, err = statekv.Join(ctx, w.state, mirror, host, 4*time.Second, statekv.Registration{}); err != nil {
 		w.t.Fatal(err)
 	}
 	types := map[string]cloud.MachineType{"box": {Name: "box", CPUs: 8, GPUs: 2, MemoryGB: 64, FetchGBPerS: 0.1}}
@@ -191,7 +192,7 @@
 }
 
 func (w *world) final(id string) string {
-	f, err := job.ReadFinal(w.ctx, w.state, id)
+	f, err := ended.Read(w.ctx, w.state, nil, id)
 	if err != nil {
 		return ""
 	}
@@ -291,7 +292,7 @@
 		w.run(3 * time.Second)
 		w.submit(n, spec("wk-1", job.Array, 6, 1))
 		w.run(4 * time.Second)
-		if _, err := w.state.Txn(w.ctx, nil, []statekv.Op{{Delete: job.OpenKey("wk-1")}, {Set: job.FinalKey("wk-1"), Value: job.Final{Status: job.Cancelled, Tasks: 6}}}); err != nil {
+		if _, err := w.state.Txn(w.ctx, nil, []statekv.Op{{Delete: job.OpenKey("wk-1")}, ended.Ops("wk-1", ended.Record{Status: job.Cancelled, Tasks: 6}, ended.Former)[0]}); err != nil {
 			t.Fatal(err)
 		}
 		w.run(6 * time.Second)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,12 +30,17 @@
 	WarmGangs         int           // tasks of each class of gangs for which room is kept ready
 	Preempt           bool          // stop tasks of lower priority to make room for gangs
 
+	RolloutSoak   time.Duration // how long all controllers have to have stood before the level rises
+	RolloutAbsent time.Duration // how long one that is away is waited for
+	RolloutHold   bool          // the level does not rise by itself
+
 	order *vm.Program // queue_order, nil for the built-in order
 }
 
 // Default returns the policy that holds where operators set nothing.
 func Default() *Policy {
-	return &Policy{SampleControllers: 1, SampleMachines: 0.04, SampleLeast: 48, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 25 * time.Second, WarmGangs: 2, Preempt: true}
+	return &Policy{SampleControllers: 1, SampleMachines: 0.04, SampleLeast: 48, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 25 * time.Second, WarmGangs: 2, Preempt: true,
+		RolloutSoak: 30 * time.Second, RolloutAbsent: 10 * time.Minute}
 }
 
 // jobEnv is what queue_order can refer to.
@@ -69,6 +74,14 @@
 	"retry_s":            {0.1, 60, func(p *Policy, v float64) { p.RetryAfter = seconds(v) }},
 	"warm_gangs":         {0, 100, func(p *Policy, v float64) { p.WarmGangs = int(v) }},
 	"idle_return_s":      {1, 86400, func(p *Policy, v float64) { p.IdleReturn = seconds(v) }},
+	"rollout_soak_s":     {1, 7 * 86400, func(p *Policy, v float64) { p.RolloutSoak = seconds(v) }},
+	"rollout_absent_s":   {0, 30 * 86400, func(p *Policy, v float64) { p.RolloutAbsent = seconds(v) }},
+}
+
+// switches are the settings that are on or off.
+var switches = map[string]func(*Policy) *bool{
+	"preempt":      func(p *Policy) *bool { return &p.Preempt },
+	"rollout_hold": func(p *Policy) *bool { return &p.RolloutHold },
 }
 
 // Load reads a policy file; an error names the file, line and column.
@@ -132,12 +145,12 @@
 			return fmt.Errorf("%v is not within %v to %v", f, num.least, num.most)
 		}
 		num.set(p, v.(float64))
-	case name == "preempt":
+	case switches[name] != nil:
 		v, err := constant(source, expr.AsBool())
 		if err != nil {
 			return err
 		}
-		p.Preempt = v.(bool)
+		*switches[name](p) = v.(bool)
 	case name == "queue_order":
 		program, err := expr.Compile(source, expr.Env(jobEnv{}), expr.AsFloat64())
 		if err != nil {
--- /dev/null
+++ b/rollout/move.go
@@ -0,0 +1,276 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"robinstack/ended"
+	"robinstack/statekv"
+)
+
+// Moves of stored values.
+const (
+	MoveCopy = "copy" // ended jobs get records of the new form beside the former ones
+	MoveDrop = "drop" // the former ones go
+	MoveBack = "back" // former ones are written for those that have only the new
+)
+
+// Move is how far stored values have been moved, as the move's key holds it.
+type Move struct {
+	Name   string `json:"move"`
+	Level  int    `json:"level"`           // at which it is made
+	After  string `json:"after,omitempty"` // the last job that was looked at, by the order of keys
+	Looked int    `json:"looked"`
+	Moved  int    `json:"moved"`
+	Done   bool   `json:"done,omitempty"`
+
+	// Bad counts the values that cannot be read and were left as they are; the first
+	// ones are listed.
+	Bad    int        `json:"bad,omitempty"`
+	Listed []BadValue `json:"unreadable,omitempty"`
+}
+
+// mostBad bounds the unreadable values that are listed by key.
+const mostBad = 20
+
+// unreadable notes a value that is left as it is.
+func (m *Move) unreadable(key string, err error) {
+	slog.Error("a value cannot be read; it is left as it is", "key", key, "err", err)
+	m.Bad++
+	if len(m.Listed) < mostBad {
+		m.Listed = append(slices.Clone(m.Listed), BadValue{key, err.Error()})
+	}
+}
+
+func (m Move) String() string {
+	s := fmt.Sprintf("%s: %d of %d looked at so far moved", m.Name, m.Moved, m.Looked)
+	if m.Done {
+		s = fmt.Sprintf("%s: all %d looked at, %d moved", m.Name, m.Looked, m.Moved)
+	}
+	if m.Bad > 0 {
+		s += fmt.Sprintf(", %d cannot be read", m.Bad)
+	}
+	return s
+}
+
+// MoveShare is the part of the state service's write limit that a move uses. It is
+// beside the part that controllers share, so that nothing waits for it.
+const MoveShare = 0.1
+
+// Mover moves stored values while its controller is steward. Each transaction moves some
+// and notes how far it got, under the conditions that the level, the steward and that
+// note are as they were seen; so two movers never undo each other, and whoever is
+// steward next goes on where the last one stopped.
+type Mover struct {
+	store   statekv.Store
+	mirror  *statekv.Mirror
+	member  *statekv.Member
+	steward func() uint64
+	txnOps  int
+	pace    *rate.Limiter
+}
+
+// NewMover returns a mover that makes so many changes a second at most.
+func NewMover(store statekv.Store, mirror *statekv.Mirror, member *statekv.Member, steward func() uint64, txnOps int, perSecond float64) *Mover {
+	return &Mover{store: store, mirror: mirror, member: member, steward: steward, txnOps: txnOps,
+		pace: rate.NewLimiter(rate.Limit(perSecond), txnOps)}
+}
+
+// Run moves what there is to move until ctx ends.
+func (m *Mover) Run(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		for m.steward() != 0 && ctx.Err() == nil {
+			more, err := m.page(ctx)
+			if err != nil {
+				// The service has more to do than this: it comes after everything.
+				slog.Debug("moving stored values", "err", err)
+				select {
+				case <-ctx.Done():
+				case <-time.After(2 * time.Second):
+				}
+			}
+			if !more {
+				break
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+}
+
+// moving is a move under way with the revisions that it goes by.
+type moving struct {
+	Move
+	rev, level, steward uint64
+}
+
+// page moves the values of one page of the listing. It returns whether there is more
+// to do now.
+func (m *Mover) page(ctx context.Context) (more bool, err error) {
+	kv, ok := m.mirror.Get(statekv.MoveKey)
+	levelKV, _ := m.mirror.Get(statekv.LevelKey)
+	at := moving{rev: kv.Rev, level: levelKV.Rev, steward: m.steward()}
+	if !ok || json.Unmarshal(kv.Value, &at.Move) != nil || at.Done || at.steward == 0 {
+		return false, nil
+	}
+	level, err := ParseLevel(levelKV.Value)
+	if err != nil || level.N != at.Level {
+		return false, nil
+	}
+	from := ended.FormerPrefix
+	if at.Name == MoveBack {
+		from = ended.Prefix
+	}
+	after := ""
+	if at.After != "" {
+		after = from + at.After
+	}
+	list, err := m.store.List(ctx, from, after)
+	if err != nil {
+		return true, fmt.Errorf("listing what is to be moved: %w", err)
+	}
+	var others map[string]uint64
+	if at.Name == MoveDrop && len(list.Items) > 0 {
+		if others, err = m.revisions(ctx, ended.Prefix, at.After, list.Items[len(list.Items)-1].Key[len(from):]); err != nil {
+			return true, err
+		}
+	}
+	items := list.Items
+	for len(items) > 0 {
+		n := min(len(items), m.txnOps-1)
+		if err := m.batch(ctx, &at, items[:n], others); err != nil {
+			return true, err
+		}
+		items = items[n:]
+	}
+	if !list.More {
+		at.Done = true
+		if err := m.note(ctx, &at, nil, nil); err != nil {
+			return true, err
+		}
+		slog.Info("stored values moved", "move", at.Name, "looked", at.Looked, "moved", at.Moved, "bad", at.Bad)
+		return false, nil
+	}
+	return true, nil
+}
+
+// revisions lists the revisions of the keys under prefix for the jobs after one up to
+// another.
+func (m *Mover) revisions(ctx context.Context, prefix, after, last string) (map[string]uint64, error) {
+	out := map[string]uint64{}
+	key := ""
+	if after != "" {
+		key = prefix + after
+	}
+	for {
+		page, err := m.store.List(ctx, prefix, key)
+		if err != nil {
+			return nil, fmt.Errorf("listing what was moved: %w", err)
+		}
+		for _, kv := range page.Items {
+			key = kv.Key
+			if key[len(prefix):] > last {
+				return out, nil
+			}
+			out[key[len(prefix):]] = kv.Rev
+		}
+		if !page.More || len(page.Items) == 0 {
+			return out, nil
+		}
+	}
+}
+
+// batch moves some values with one transaction. Those that turn out to be moved
+// already are left out.
+func (m *Mover) batch(ctx context.Context, at *moving, items []statekv.KV, others map[string]uint64) error {
+	type change struct {
+		id   string
+		when []statekv.Cond
+		op   statekv.Op
+	}
+	var changes []change
+	noted := *at
+	for _, kv := range items {
+		id, r, _, err := ended.Parse(kv.Key, kv.Value)
+		if err != nil {
+			noted.unreadable(kv.Key, err)
+			continue
+		}
+		c := change{id: id, when: []statekv.Cond{{Key: kv.Key, Rev: kv.Rev}}}
+		switch at.Name {
+		case MoveCopy:
+			c.when = append(c.when, statekv.Cond{Key: ended.Key(id)})
+			c.op = ended.Ops(id, r, ended.Compact)[0]
+		case MoveBack:
+			c.when = append(c.when, statekv.Cond{Key: ended.FormerKey(id)})
+			c.op = ended.Ops(id, r, ended.Former)[0]
+		case MoveDrop:
+			if others[id] == 0 {
+				// Nothing is dropped that is not there in the other form.
+				noted.unreadable(kv.Key, errors.New("it has no record of the new form"))
+				continue
+			}
+			c.when = append(c.when, statekv.Cond{Key: ended.Key(id), Rev: others[id]})
+			c.op = statekv.Op{Delete: kv.Key}
+		default:
+			return fmt.Errorf("move %q is unknown", at.Name)
+		}
+		changes = append(changes, c)
+	}
+	for {
+		next := noted
+		next.After = strings.TrimPrefix(strings.TrimPrefix(items[len(items)-1].Key, ended.FormerPrefix), ended.Prefix)
+		next.Looked += len(items)
+		next.Moved += len(changes)
+		var when []statekv.Cond
+		var then []statekv.Op
+		for _, c := range changes {
+			when = append(when, c.when...)
+			then = append(then, c.op)
+		}
+		err := m.note(ctx, &next, when, then)
+		var conflict *statekv.Conflict
+		if errors.As(err, &conflict) {
+			left := slices.DeleteFunc(slices.Clone(changes), func(c change) bool {
+				return slices.ContainsFunc(c.when, func(w statekv.Cond) bool { return slices.Contains(conflict.Failed, w.Key) })
+			})
+			if len(left) < len(changes) {
+				changes = left
+				continue
+			}
+		}
+		if err == nil {
+			*at = next
+		}
+		return err
+	}
+}
+
+// note writes changes together with how far the move got.
+func (m *Mover) note(ctx context.Context, at *moving, when []statekv.Cond, then []statekv.Op) error {
+	if err := m.pace.WaitN(ctx, len(then)+1); err != nil {
+		return err
+	}
+	tctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	rev, err := m.store.Txn(tctx, append([]statekv.Cond{m.member.Cond(), {Key: statekv.LevelKey, Rev: at.level}, {Key: statekv.StewardKey, Rev: at.steward}, {Key: statekv.MoveKey, Rev: at.rev}}, when...),
+		append(then, statekv.Op{Set: statekv.MoveKey, Value: at.Move}))
+	if err != nil {
+		return fmt.Errorf("moving %d values: %w", len(then), err)
+	}
+	at.rev = rev
+	// The next page goes by the mirror.
+	return m.mirror.Wait(tctx, rev)
+}
--- /dev/null
+++ b/rollout/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package rollout
+
+func init() { raceOn = true }
--- a/statekv/member.go
+++ b/statekv/member.go
@@ -24,6 +24,13 @@
 	ShardPrefix   = FleetPrefix + "shard/"
 	StewardKey    = FleetPrefix + "steward"
 	TypesKey      = FleetPrefix + "types"
+
+	// LevelKey says what the fleet's controllers do together (package rollout),
+	// JoinsKey changes with every life that begins, MoveKey tells how far stored
+	// values have been moved to another form.
+	LevelKey = FleetPrefix + "level"
+	JoinsKey = FleetPrefix + "joins"
+	MoveKey  = FleetPrefix + "move"
 )
 
 // Holder says which life of which controller holds a role.
@@ -58,14 +65,24 @@
 	renewed time.Time // when the last successful renewal was sent
 }
 
+// Registration is what the key of a life says, and what has to hold for it to begin.
+type Registration struct {
+	Value any    // nil: nothing
+	When  []Cond // a *Conflict from Join says that one did not hold
+	Also  []Op   // written with it
+}
+
 // Join registers a new life of host, ending any earlier one.
-func Join(ctx context.Context, store Store, mirror *Mirror, host string, ttl time.Duration) (*Member, error) {
+func Join(ctx context.Context, store Store, mirror *Mirror, host string, ttl time.Duration, reg Registration) (*Member, error) {
 	sent := time.Now()
 	lease, err := store.Grant(ctx, ttl)
 	if err != nil {
 		return nil, fmt.Errorf("obtaining a state lease: %w", err)
 	}
-	rev, err := store.Txn(ctx, nil, []Op{{Set: NodePrefix + host, Value: struct{}{}, Lease: lease}})
+	if reg.Value == nil {
+		reg.Value = struct{}{}
+	}
+	rev, err := store.Txn(ctx, reg.When, append([]Op{{Set: NodePrefix + host, Value: reg.Value, Lease: lease}}, reg.Also...))
 	if err != nil {
 		// A copy applied late must not replace a later registration.
 		_ = store.Revoke(ctx, lease)
@@ -136,12 +153,28 @@
 func (m *Member) AliveHosts() []string {
 	var hosts []string
 	for _, kv := range m.mirror.Dir(NodePrefix) {
-		hosts = append(hosts, kv.Key[len(NodePrefix):])
+		if Refused(kv) == "" {
+			hosts = append(hosts, kv.Key[len(NodePrefix):])
+		}
 	}
 	sort.Strings(hosts)
 	return hosts
 }
 
+// Refusal is what another controller writes in place of a life that must not go on.
+type Refusal struct {
+	Refused string `json:"refused"` // why
+}
+
+// Refused tells why the life whose key kv was is refused, or "".
+func Refused(kv KV) string {
+	var r Refusal
+	if len(kv.Value) > 2 && json.Unmarshal(kv.Value, &r) == nil {
+		return r.Refused
+	}
+	return ""
+}
+
 // gathering is how long a new life leaves what is not its own part to controllers
 // that may just be coming back too.
 const gathering = 2 * time.Second
@@ -173,11 +206,19 @@
 	return when
 }
 
+// keep is the role's new value with what it does not know of the one it replaces.
+func (m *Member) keep(r Role) any {
+	if kv, ok := m.mirror.Get(r.Key); ok && kv.Rev == r.Seen {
+		return Keep(kv.Value, r.Value)
+	}
+	return r.Value
+}
+
 // Take writes a role's key if it still has the revision seen, and returns the
 // new revision, which fences off earlier holders. If an answer is lost, the next
 // try meets its own write and recognises it.
 func (m *Member) Take(ctx context.Context, r Role) (uint64, error) {
-	rev, err := m.Write(ctx, m.Conds(r), []Op{{Set: r.Key, Value: r.Value}})
+	rev, err := m.Write(ctx, m.Conds(r), []Op{{Set: r.Key, Value: m.keep(r)}})
 	if !IsConflict(err) {
 		return rev, err
 	}
@@ -212,7 +253,7 @@
 						when = append(when, c)
 					}
 				}
-				then = append(then, Op{Set: r.Key, Value: r.Value})
+				then = append(then, Op{Set: r.Key, Value: m.keep(r)})
 			}
 			rev, err := m.Write(ctx, when, then)
 			if err == nil {
--- a/statekv/mirror.go
+++ b/statekv/mirror.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -23,9 +24,13 @@
 	onNews func([]Event)
 
 	// Parse reads a kept value once, so that those who look through many keys
-	// need not; nil reads nothing. Set it before Load.
+	// need not; nil reads nothing. An error in its place says why the value cannot be
+	// read. Set it before Load.
 	Parse func(key string, value json.RawMessage) any
 
+	badMu sync.Mutex
+	bad   map[string]string // why a key's value cannot be read
+
 	mu     sync.Mutex
 	rev    uint64
 	dirs   map[string]map[string]KV // by the key's part up to the last slash
@@ -48,7 +53,35 @@
 // least pause apart; onNews, called from one goroutine, gets every change after
 // the first load and, after a gap in the watch, nil.
 func NewMirror(store Store, keep []string, follow string, block, pause time.Duration, onNews func([]Event)) *Mirror {
-	return &Mirror{store: store, keep: keep, follow: follow, block: block, pause: pause, onNews: onNews, dirs: map[string]map[string]KV{}, moved: make(chan struct{})}
+	return &Mirror{store: store, keep: keep, follow: follow, block: block, pause: pause, onNews: onNews, dirs: map[string]map[string]KV{}, bad: map[string]string{}, moved: make(chan struct{})}
+}
+
+// mostBad bounds the unreadable keys that are kept in mind.
+const mostBad = 100
+
+// Unreadable notes that the value of a key cannot be read, and logs it once. The key
+// is left as it is, for whoever wrote it can read it, or a person has to see it.
+func (m *Mirror) Unreadable(key string, err error) {
+	m.badMu.Lock()
+	defer m.badMu.Unlock()
+	if _, known := m.bad[key]; known || len(m.bad) >= mostBad {
+		return
+	}
+	m.bad[key] = err.Error()
+	slog.Error("a value cannot be read; it is left as it is", "key", key, "err", err)
+}
+
+// Bad lists the keys whose values cannot be read, with the reason.
+func (m *Mirror) Bad() map[string]string {
+	m.badMu.Lock()
+	defer m.badMu.Unlock()
+	return maps.Clone(m.bad)
+}
+
+func (m *Mirror) readable(key string) {
+	m.badMu.Lock()
+	defer m.badMu.Unlock()
+	delete(m.bad, key)
 }
 
 func dirOf(key string) string { return key[:strings.LastIndexByte(key, '/')+1] }
@@ -57,6 +90,9 @@
 func (m *Mirror) put(dirs map[string]map[string]KV, kv KV) {
 	if m.Parse != nil {
 		kv.Parsed = m.Parse(kv.Key, kv.Value)
+		if err, ok := kv.Parsed.(error); ok {
+			m.Unreadable(kv.Key, err)
+		}
 	}
 	dir := dirOf(kv.Key)
 	if dirs[dir] == nil {
@@ -140,6 +176,7 @@
 		if !m.keeps(key) || m.dirs[dirOf(key)][key].Rev >= e.Rev {
 			continue
 		}
+		m.readable(key)
 		if e.Set != "" {
 			m.put(m.dirs, KV{Key: key, Value: e.Value, Rev: e.Rev})
 		} else {
--- a/statekv/mirror_test.go
+++ b/statekv/mirror_test.go
@@ -41,14 +41,14 @@
 		var other *statekv.Member
 		store.then = func() {
 			var err error
-			if other, err = statekv.Join(ctx, state, mirror, "host-1", time.Hour); err != nil {
+			if other, err = statekv.Join(ctx, state, mirror, "host-1", time.Hour, statekv.Registration{}); err != nil {
 				t.Fatal(err)
 			}
 		}
 		if err := mirror.Load(ctx); err != nil {
 			t.Fatal(err)
 		}
-		member, err := statekv.Join(ctx, store, mirror, "host-0", time.Hour)
+		member, err := statekv.Join(ctx, store, mirror, "host-0", time.Hour, statekv.Registration{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -68,11 +68,11 @@
 		defer func() { cancel(); synctest.Wait() }()
 		state := fakes.NewState()
 		blind := statekv.NewMirror(state, nil, statekv.RootPrefix, time.Second, 0, func([]statekv.Event) {})
-		holder, err := statekv.Join(ctx, state, blind, "host-1", time.Hour)
+		holder, err := statekv.Join(ctx, state, blind, "host-1", time.Hour, statekv.Registration{})
 		if err != nil {
 			t.Fatal(err)
 		}
-		taker, err := statekv.Join(ctx, state, blind, "host-0", time.Hour)
+		taker, err := statekv.Join(ctx, state, blind, "host-0", time.Hour, statekv.Registration{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -105,7 +105,7 @@
 		state := fakes.NewState()
 		mirror := statekv.NewMirror(state, []string{statekv.FleetPrefix}, statekv.RootPrefix, time.Second, 0, func([]statekv.Event) {})
 		join := func(host string) *statekv.Member {
-			m, err := statekv.Join(ctx, state, mirror, host, time.Hour)
+			m, err := statekv.Join(ctx, state, mirror, host, time.Hour, statekv.Registration{})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -35,7 +35,7 @@
 	if err := mirror.Load(ctx); err != nil {
 		t.Fatal(err)
 	}
-	member, err := statekv.Join(ctx, state, mirror, "host-0", 4*time.Second)
+	member, err := statekv.Join(ctx, state, mirror, "host-0", 4*time.Second, statekv.Registration{})
 	if err != nil {
 		t.Fatal(err)
 	}
