Roll-out: dropping former records writes the new ones that are missing

Cause: where all controllers are replaced by former ones without lowering the level, nobody is left to refuse them, and what they record has only their form. Such records were listed as unreadable and left; now they are written in the new form with the change that drops them.

--- /dev/null
+++ b/rollout/against.go
@@ -0,0 +1,163 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"robinstack/agent"
+	"robinstack/ended"
+	"robinstack/job"
+	"robinstack/statekv"
+)
+
+// kind is a kind of stored value, by the prefix of its keys, and how this build reads
+// one.
+type kind struct {
+	prefix, name string
+	read         func(key string, value json.RawMessage) error
+}
+
+// object reads what has no form of its own beyond being an object of form 0.
+func object(name string) func(string, json.RawMessage) error {
+	return func(_ string, value json.RawMessage) error {
+		var fields map[string]json.RawMessage
+		if err := json.Unmarshal(value, &fields); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		return statekv.CheckForm(name, value, 0)
+	}
+}
+
+func parsed(key string, value json.RawMessage) error {
+	err, _ := agent.ParseKey(key, value).(error)
+	return err
+}
+
+func endedJob(key string, value json.RawMessage) error {
+	_, _, _, err := ended.Parse(key, value)
+	return err
+}
+
+// kinds are all keys that this build knows; the first prefix that fits decides.
+var kinds = []kind{
+	{statekv.LevelKey, LevelKind, func(_ string, v json.RawMessage) error { _, err := ParseLevel(v); return err }},
+	{statekv.JoinsKey, "joins", object("the joins' key")},
+	{statekv.MoveKey, "move", object("the move's key")},
+	{statekv.StewardKey, "steward", object("the steward's key")},
+	{statekv.TypesKey, "types", func(_ string, v json.RawMessage) error { var list []json.RawMessage; return json.Unmarshal(v, &list) }},
+	{statekv.NodePrefix, "node", func(_ string, v json.RawMessage) error { _, err := ParseCaps(v); return err }},
+	{statekv.SlotPrefix, "slot", object("a slot's key")},
+	{statekv.MachinePrefix, "machine", parsed},
+	{statekv.ShardPrefix, "shard", parsed},
+	{job.OpenPrefix, RecordKind, func(_ string, v json.RawMessage) error { _, err := job.ParseRecord(v); return err }},
+	{ended.FormerPrefix, "ended, former", endedJob},
+	{ended.Prefix, EndedKind, endedJob},
+	{"robin/part/", "part", func(_ string, v json.RawMessage) error { var chunk string; return json.Unmarshal(v, &chunk) }},
+}
+
+// Reading is what a build makes of what is stored.
+type Reading struct {
+	Level  Level
+	Lacks  string         // what this build lacks for the level, or ""
+	Counts map[string]int // values, by kind
+	Bytes  map[string]int
+	Bad    []BadValue
+	Others int // keys that are none of the service's
+}
+
+// Readable reports whether this build could serve on it.
+func (r *Reading) Readable() bool { return r.Lacks == "" && len(r.Bad) == 0 }
+
+// Add reads one key.
+func (r *Reading) Add(key string, value json.RawMessage) {
+	if r.Counts == nil {
+		r.Counts, r.Bytes = map[string]int{}, map[string]int{}
+	}
+	at := slices.IndexFunc(kinds, func(k kind) bool { return strings.HasPrefix(key, k.prefix) })
+	if at < 0 {
+		if strings.HasPrefix(key, statekv.RootPrefix) {
+			r.Bad = append(r.Bad, BadValue{key, "this build knows no such key"})
+		} else {
+			r.Others++
+		}
+		return
+	}
+	r.Counts[kinds[at].name]++
+	r.Bytes[kinds[at].name] += len(key) + len(value)
+	err := kinds[at].read(key, value)
+	if err != nil {
+		r.Bad = append(r.Bad, BadValue{key, err.Error()})
+	}
+	if key == statekv.LevelKey && err == nil {
+		r.Level, _ = ParseLevel(value)
+		r.Lacks = OurCaps().Lacks(r.Level)
+	}
+}
+
+// ReadDump reads a dump of the state service: its answers to GET /keys, one after the
+// other, as they came.
+func ReadDump(in io.Reader) (*Reading, error) {
+	r := &Reading{Counts: map[string]int{}, Bytes: map[string]int{}}
+	dec := json.NewDecoder(in)
+	for n := 1; ; n++ {
+		var page statekv.Page
+		if err := dec.Decode(&page); err == io.EOF {
+			return r, nil
+		} else if err != nil {
+			return nil, fmt.Errorf("page %d of the dump: %w", n, err)
+		}
+		for _, kv := range page.Items {
+			r.Add(kv.Key, kv.Value)
+		}
+	}
+}
+
+// ReadStore reads all that a state service holds for the service.
+func ReadStore(ctx context.Context, store statekv.Store) (*Reading, error) {
+	r := &Reading{Counts: map[string]int{}, Bytes: map[string]int{}}
+	for after, more := "", true; more; {
+		page, err := store.List(ctx, statekv.RootPrefix, after)
+		if err != nil {
+			return nil, fmt.Errorf("listing the state service's keys: %w", err)
+		}
+		for _, kv := range page.Items {
+			r.Add(kv.Key, kv.Value)
+			after = kv.Key
+		}
+		more = page.More && len(page.Items) > 0
+	}
+	return r, nil
+}
+
+// mostShown bounds the unreadable keys that are printed.
+const mostShown = 20
+
+// Print writes the reading as a table.
+func (r *Reading) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "level %d with %v\n", r.Level.N, r.Level.Features)
+	fmt.Fprintln(t, "kind\tvalues\tbytes")
+	for _, name := range slices.Sorted(maps.Keys(r.Counts)) {
+		fmt.Fprintf(t, "%s\t%d\t%d\n", name, r.Counts[name], r.Bytes[name])
+	}
+	for k, b := range r.Bad {
+		if k == mostShown {
+			fmt.Fprintf(t, "and %d more that cannot be read\n", len(r.Bad)-k)
+			break
+		}
+		fmt.Fprintf(t, "cannot be read: %s: %s\n", b.Key, b.Why)
+	}
+	if r.Lacks != "" {
+		fmt.Fprintf(t, "this build (%s) lacks %s\n", Build, r.Lacks)
+	}
+	if r.Readable() {
+		fmt.Fprintf(t, "this build (%s) reads all of it\n", Build)
+	}
+	return t.Flush()
+}
--- a/rollout/move.go
+++ b/rollout/move.go
@@ -150,6 +150,9 @@
 	items := list.Items
 	for len(items) > 0 {
 		n := min(len(items), m.txnOps-1)
+		if at.Name == MoveDrop {
+			n = min(n, (m.txnOps-1)/2) // two changes each at most
+		}
 		if err := m.batch(ctx, &at, items[:n], others); err != nil {
 			return true, err
 		}
@@ -196,9 +199,8 @@
 // already are left out.
 func (m *Mover) batch(ctx context.Context, at *moving, items []statekv.KV, others map[string]uint64) error {
 	type change struct {
-		id   string
 		when []statekv.Cond
-		op   statekv.Op
+		ops  []statekv.Op
 	}
 	var changes []change
 	noted := *at
@@ -208,22 +210,22 @@
 			noted.unreadable(kv.Key, err)
 			continue
 		}
-		c := change{id: id, when: []statekv.Cond{{Key: kv.Key, Rev: kv.Rev}}}
+		c := change{when: []statekv.Cond{{Key: kv.Key, Rev: kv.Rev}}}
 		switch at.Name {
 		case MoveCopy:
 			c.when = append(c.when, statekv.Cond{Key: ended.Key(id)})
-			c.op = ended.Ops(id, r, ended.Compact)[0]
+			c.ops = ended.Ops(id, r, ended.Compact)
 		case MoveBack:
 			c.when = append(c.when, statekv.Cond{Key: ended.FormerKey(id)})
-			c.op = ended.Ops(id, r, ended.Former)[0]
+			c.ops = ended.Ops(id, r, ended.Former)
 		case MoveDrop:
+			c.when = append(c.when, statekv.Cond{Key: ended.Key(id), Rev: others[id]})
 			if others[id] == 0 {
-				// Nothing is dropped that is not there in the other form.
-				noted.unreadable(kv.Key, errors.New("it has no record of the new form"))
-				continue
+				// Controllers of the former version that were started all together
+				// since have nobody who refuses them, and write only this form.
+				c.ops = ended.Ops(id, r, ended.Compact)
 			}
-			c.when = append(c.when, statekv.Cond{Key: ended.Key(id), Rev: others[id]})
-			c.op = statekv.Op{Delete: kv.Key}
+			c.ops = append(c.ops, statekv.Op{Delete: kv.Key})
 		default:
 			return fmt.Errorf("move %q is unknown", at.Name)
 		}
@@ -238,7 +240,7 @@
 		var then []statekv.Op
 		for _, c := range changes {
 			when = append(when, c.when...)
-			then = append(then, c.op)
+			then = append(then, c.ops...)
 		}
 		err := m.note(ctx, &next, when, then)
 		var conflict *statekv.Conflict
