--- /dev/null
+++ b/cmd/robinstack/dev.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"robinstack/dev"
+)
+
+func devCommand() *cobra.Command {
+	var o dev.Options
+	var try bool
+	var rolls int
+	var former string
+	cmd := &cobra.Command{
+		Use: "dev", Short: "Run a whole service on this machine, with stand-ins for everything around it", Args: cobra.NoArgs,
+		Long: "dev starts a state service, a cloud and workers that run small commands, all stand-ins on loopback, and controllers as processes of their own. Interrupt it to end all of it.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, out := cmd.Context(), cmd.OutOrStdout()
+			program, err := os.Executable()
+			if err != nil {
+				return fmt.Errorf("finding this program: %w", err)
+			}
+			o.Program = program
+			f, err := dev.Start(ctx, o)
+			if err != nil {
+				return err
+			}
+			defer f.Stop()
+			rctx, cancel := context.WithTimeout(ctx, 30*time.Second)
+			defer cancel()
+			if err := f.Ready(rctx); err != nil {
+				return err
+			}
+			switch {
+			case rolls > 0:
+				return f.Roll(ctx, out, rolls, former)
+			case try:
+				return f.Try(rctx, out)
+			}
+			fmt.Fprintf(out, "controllers answer users at %v; their logs are in %s\n", f.Listens(), f.Logs())
+			fmt.Fprintf(out, "submit a job of four commands:\n\n    curl -d '%s' http://%s/submissions\n    curl http://%[2]s/submissions/wk-1\n\n", dev.Example, f.Listen(0))
+			fmt.Fprintf(out, "see who holds what, and how a roll-out stands:\n\n    %s status %s\n    %[1]s rollout status %[2]s\n\n", os.Args[0], f.Listen(0))
+			for ctx.Err() == nil {
+				if err := f.Ended(); err != nil {
+					return err
+				}
+				select {
+				case <-ctx.Done():
+				case <-time.After(200 * time.Millisecond):
+				}
+			}
+			return nil
+		},
+	}
+	cmd.Flags().IntVar(&o.Port, "port", 7400, "first of the ports")
+	cmd.Flags().IntVar(&o.Controllers, "controllers", 3, "how many controllers")
+	cmd.Flags().StringArrayVar(&o.Programs, "controller", nil, "program of one controller, in their order; repeat it for more. The others run this program")
+	cmd.Flags().StringVar(&o.Policy, "policy", "", "policy file for the controllers that run this program")
+	cmd.Flags().StringVar(&o.Logs, "logs", "", "directory for the controllers' logs; without it they go when all ends")
+	cmd.Flags().BoolVar(&try, "try", false, "submit a job, see it done, and end")
+	cmd.Flags().IntVar(&rolls, "rolls", 0, "roll the controllers so many times from --former to this program and back under load, killing them at any moment, and tell what was lost")
+	cmd.Flags().StringVar(&former, "former", "", "program of the former version, for --rolls")
+	return cmd
+}
--- a/cmd/robinstack/main.go
+++ b/cmd/robinstack/main.go
@@ -21,11 +21,9 @@
 	"robinstack/config"
 	"robinstack/controller"
 	"robinstack/policy"
+	"robinstack/rollout"
 )
 
-// version is the release that this tree leads to.
-const version = "0.1.0"
-
 // errUsage marks errors in what the operator gave.
 var errUsage = errors.New("invalid settings")
 
@@ -74,9 +72,9 @@
 	}
 	root.Flags().StringVar(&settingsPath, "config", "", "the platform's settings file (JSON)")
 	root.Flags().StringVar(&policyPath, "policy", "", "the operators' policy file")
-	root.AddCommand(checkCommand(), statusCommand(), auditCommand(), &cobra.Command{
+	root.AddCommand(checkCommand(), statusCommand(), auditCommand(), rolloutCommand(), devCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
-		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), version) },
+		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), rollout.Build) },
 	})
 	return root
 }
@@ -93,10 +91,18 @@
 }
 
 func checkCommand() *cobra.Command {
-	var policyPath string
+	var policyPath, against string
 	check := &cobra.Command{
-		Use: "check FILE", Short: "Check a settings file and a policy file", Args: cobra.ExactArgs(1),
+		Use: "check FILE", Short: "Check a settings file and a policy file, or whether this build reads what is stored", Args: cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if against != "" {
+				if err := checkAgainst(cmd.Context(), cmd.OutOrStdout(), against); err != nil || len(args) == 0 {
+					return err
+				}
+			}
+			if len(args) == 0 {
+				return fmt.Errorf("%w: neither FILE nor --against is given", errUsage)
+			}
 			s, err := config.Load(args[0])
 			if err != nil {
 				return fmt.Errorf("%w: %w", errUsage, err)
@@ -108,6 +114,7 @@
 			return nil
 		},
 	}
+	check.Flags().StringVar(&against, "against", "", "a dump of the state service (its answers to GET /keys), or its address: would this build read it?")
 	check.Flags().StringVar(&policyPath, "policy", "", "the operators' policy file")
 	return check
 }
--- /dev/null
+++ b/cmd/robinstack/rollout.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"robinstack/rollout"
+	"robinstack/statekv"
+)
+
+func rolloutCommand() *cobra.Command {
+	root := &cobra.Command{Use: "rollout", Short: "See and steer the replacement of the controllers by those of another version"}
+	var asJSON bool
+	status := &cobra.Command{
+		Use: "status ADDRESS", Short: "Show the fleet's level, what it waits for, and what each controller knows", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return rolloutCall(cmd, http.MethodGet, "http://"+args[0]+"/rollout.json", asJSON)
+		},
+	}
+	status.Flags().BoolVar(&asJSON, "json", false, "print as JSON")
+	root.AddCommand(status)
+	for verb, short := range map[string]string{
+		rollout.HoldVerb:  "Keep the level as it is until raise is given",
+		rollout.RaiseVerb: "Let the level rise again, also to one that closes the way back",
+		rollout.LowerVerb: "Go back to the level below, and stay there until raise is given",
+	} {
+		var why string
+		c := &cobra.Command{
+			Use: verb + " ADDRESS", Short: short, Args: cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				return rolloutCall(cmd, http.MethodPost, "http://"+args[0]+"/rollout/"+verb+"?"+url.Values{"why": {why}}.Encode(), false)
+			},
+		}
+		c.Flags().StringVar(&why, "why", "", "the reason, for those who look at the status later")
+		root.AddCommand(c)
+	}
+	return root
+}
+
+// rolloutCall sends a request to a controller and prints the status that it answers.
+func rolloutCall(cmd *cobra.Command, method, url string, asJSON bool) error {
+	req, err := http.NewRequestWithContext(cmd.Context(), method, url, nil)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	client := http.Client{Timeout: 6 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return fmt.Errorf("asking the controller: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if err != nil {
+		return fmt.Errorf("reading the answer: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		var failed struct {
+			Error string `json:"error"`
+		}
+		if json.Unmarshal(body, &failed) != nil || failed.Error == "" {
+			failed.Error = resp.Status
+		}
+		return errors.New(failed.Error)
+	}
+	if asJSON {
+		_, err = cmd.OutOrStdout().Write(append(body, '\n'))
+		return err
+	}
+	var s rollout.Status
+	if err := json.Unmarshal(body, &s); err != nil {
+		return fmt.Errorf("reading the answer: %w", err)
+	}
+	return printRollout(cmd.OutOrStdout(), &s)
+}
+
+func printRollout(w io.Writer, s *rollout.Status) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "level\t%d\t%v\n", s.Level, s.Features)
+	for _, line := range [][2]string{{"held", s.Hold}, {"waits for", s.WaitsFor}, {"move", s.Move}, {"lowering", s.Lower}} {
+		if line[1] != "" {
+			fmt.Fprintf(t, "%s\t%s\n", line[0], line[1])
+		}
+	}
+	if s.Next != nil {
+		closes := ""
+		if s.Next.Closes {
+			closes = " (closes the way back)"
+		}
+		fmt.Fprintf(t, "next\t%d adds %s: %s%s\n", s.Next.Level, s.Next.Adds, s.Next.For, closes)
+	}
+	for _, n := range s.Controllers {
+		state := "away"
+		switch {
+		case n.Refused != "":
+			state = "refused: " + n.Refused
+		case n.Lives && n.Lacks != "":
+			state = "build " + n.Build + " lacks " + n.Lacks
+		case n.Lives:
+			state = "build " + n.Build
+		}
+		fmt.Fprintf(t, "%s\t%s\tfor %.0f s\n", n.Host, state, n.ForS)
+	}
+	for _, b := range s.Unreadable {
+		fmt.Fprintf(t, "unreadable\t%s\t%s\n", b.Key, b.Why)
+	}
+	return t.Flush()
+}
+
+// checkAgainst tells whether this build reads what is stored: in a file of answers to
+// GET /keys, or in the state service at an address.
+func checkAgainst(ctx context.Context, w io.Writer, what string) error {
+	var r *rollout.Reading
+	f, err := os.Open(what)
+	if err == nil {
+		defer f.Close()
+		r, err = rollout.ReadDump(f)
+	} else if _, _, split := net.SplitHostPort(what); split == nil {
+		r, err = rollout.ReadStore(ctx, statekv.NewClient(what, 20, 1, 1))
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	if err := r.Print(w); err != nil {
+		return err
+	}
+	if !r.Readable() {
+		return errors.New("this build does not read all that is stored")
+	}
+	return nil
+}
--- /dev/null
+++ b/dev/rolls.go
@@ -0,0 +1,292 @@
+package dev
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"robinstack/rollout"
+	"robinstack/statekv"
+)
+
+// Example is a submission to try by hand.
+const Example = `{"id":"wk-1","job_class":"try","owner":"crew","shape":"sweep","rank":"normal","pieces":4,"cpus":1,"gpus":1,"mem_gb":1,"bundle":"sh:echo tried; sleep 3","pull_gb":0.1,"host_kinds":null,"site":null,"one_zone":false,"spread":false,"loaners":true,"guess_s":3,"snapshot_every_s":0,"snapshot_s":0,"due_s":null}`
+
+// known is what a user was told of a job.
+type known struct {
+	tasks     int
+	accepted  time.Time
+	final     string
+	cancelled bool // its user asked for that
+}
+
+// load is users that submit, ask and cancel for as long as the rolls go on, and remember
+// what they were told.
+type load struct {
+	f      *Fleet
+	client *Client
+
+	mu      sync.Mutex
+	jobs    map[string]*known
+	count   int
+	refused int           // submissions without a yes in their time
+	slowest time.Duration // submission
+	over1s  int
+	broken  []string
+}
+
+func (l *load) address() string { return l.f.Listen(rand.IntN(l.f.opts.Controllers)) }
+
+func (l *load) breaks(format string, args ...any) {
+	l.broken = append(l.broken, fmt.Sprintf(format, args...))
+}
+
+// submit submits one job, as often as it takes, for up to a minute.
+func (l *load) submit(ctx context.Context) {
+	l.mu.Lock()
+	l.count++
+	n := l.count
+	l.mu.Unlock()
+	id, tasks, shape := fmt.Sprintf("wk-%08d", n), 1+rand.IntN(6), "sweep"
+	if n%4 == 0 {
+		shape, tasks = "gang", 1+rand.IntN(3)
+	}
+	s := Submission(id, shape, "", tasks, float64(1+rand.IntN(4)), 0.3+2*rand.Float64())
+	began := time.Now()
+	for time.Since(began) < time.Minute && ctx.Err() == nil {
+		a, err := l.client.Submit(ctx, l.address(), s)
+		if err == nil && (a.Code == http.StatusCreated || a.Code == http.StatusOK) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.jobs[id] = &known{tasks: tasks, accepted: time.Now()}
+			took := time.Since(began)
+			l.slowest = max(l.slowest, took)
+			if took > time.Second {
+				l.over1s++
+			}
+			return
+		}
+		if err == nil && (a.Code == http.StatusBadRequest || a.Code == http.StatusUnprocessableEntity) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.breaks("forgotten: a submission of %s answers %d", id, a.Code)
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refused++
+}
+
+// ask asks for a job, or cancels it, and holds the answer against earlier ones.
+func (l *load) ask(ctx context.Context, id string, cancel bool) {
+	l.mu.Lock()
+	j := l.jobs[id]
+	before := j.final
+	j.cancelled = j.cancelled || cancel
+	l.mu.Unlock()
+	var a Answer
+	var err error
+	if cancel {
+		a, err = l.client.Cancel(ctx, l.address(), id)
+	} else {
+		a, err = l.client.Ask(ctx, l.address(), id)
+	}
+	if err != nil || a.Code != http.StatusOK && a.Code != http.StatusNotFound {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case a.Code == http.StatusNotFound:
+		l.breaks("forgotten: %s answers 404", id)
+	case before != "" && a.Status != before:
+		l.breaks("went_back: %s was %s and is %s", id, before, a.Status)
+	case a.Status == "done" && before == "":
+		for k := range j.tasks {
+			if task := fmt.Sprintf("%s/%d", id, k); !l.f.Farm.Completed(task) {
+				l.breaks("not_done: %s is called done before %s is", id, task)
+			}
+		}
+		j.final = a.Status
+	case a.Status == "withdrawn" && !j.cancelled:
+		l.breaks("went_back: %s is called cancelled and nobody cancelled it", id)
+	case a.Status == "withdrawn":
+		j.final = a.Status
+	}
+}
+
+// open lists the jobs that are not over as far as their users know, in any order, and
+// some that are.
+func (l *load) open() (open, over []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, j := range l.jobs {
+		if j.final == "" {
+			open = append(open, id)
+		} else {
+			over = append(over, id)
+		}
+	}
+	return open, over
+}
+
+func (l *load) run(ctx context.Context) {
+	var users sync.WaitGroup
+	every := func(d time.Duration, f func()) {
+		users.Go(func() {
+			for ctx.Err() == nil {
+				users.Go(f)
+				time.Sleep(time.Duration(float64(d) * (0.5 + rand.Float64())))
+			}
+		})
+	}
+	every(150*time.Millisecond, func() { l.submit(ctx) })
+	every(50*time.Millisecond, func() {
+		open, over := l.open()
+		if len(open) > 0 {
+			l.ask(ctx, open[rand.IntN(len(open))], rand.IntN(60) == 0)
+		}
+		if len(over) > 0 {
+			l.ask(ctx, over[rand.IntN(len(over))], false)
+		}
+	})
+	users.Wait()
+}
+
+// Roll replaces the controllers, one after the other, by this program and back by the
+// former one, so many times, under load; each is killed at any moment, some twice. On the
+// way back the level is lowered first, or, every third time, not: then the former ones
+// must be refused without harm, and are replaced again. It tells what was lost.
+func (f *Fleet) Roll(ctx context.Context, out io.Writer, rolls int, former string) error {
+	if former == "" {
+		return errors.New("--former is missing")
+	}
+	l := &load{f: f, client: NewClient(), jobs: map[string]*known{}}
+	lctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var users sync.WaitGroup
+	users.Go(func() { l.run(lctx) })
+	pause := func(most time.Duration) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(rand.Float64() * float64(most))):
+		}
+	}
+	replace := func(program string) error {
+		for _, k := range rand.Perm(f.opts.Controllers) {
+			for range 1 + rand.IntN(2) {
+				f.Kill(k)
+				pause(500 * time.Millisecond)
+				if err := f.Launch(k, program); err != nil {
+					return err
+				}
+				pause(1500 * time.Millisecond)
+			}
+		}
+		return ctx.Err()
+	}
+	var refusedAt, loweredFrom []int
+	began := time.Now()
+	for n := range rolls {
+		if err := replace(f.opts.Program); err != nil {
+			return err
+		}
+		f.command("raise")
+		pause(12 * time.Second)
+		level := f.level()
+		if n%3 == 2 && level > 0 {
+			refusedAt = append(refusedAt, level)
+		} else {
+			loweredFrom = append(loweredFrom, level)
+			for deadline := time.Now().Add(30 * time.Second); f.level() > 0 && time.Now().Before(deadline) && ctx.Err() == nil; pause(300 * time.Millisecond) {
+				f.command("lower")
+			}
+		}
+		if err := replace(former); err != nil {
+			return err
+		}
+		pause(2 * time.Second)
+		if (n+1)%5 == 0 || n+1 == rolls {
+			l.mu.Lock()
+			fmt.Fprintf(out, "%d rolls in %v: %d jobs accepted, %d starts, broken: %d here, %d seen by workers\n", n+1, time.Since(began).Round(time.Second), len(l.jobs), f.Farm.Starts(), len(l.broken), len(f.Farm.Broken()))
+			l.mu.Unlock()
+		}
+	}
+	if err := replace(f.opts.Program); err != nil {
+		return err
+	}
+	stop()
+	users.Wait()
+	return l.finish(ctx, out, rolls, refusedAt, loweredFrom)
+}
+
+// finish waits until all accepted jobs are over, and tells what became of them.
+func (l *load) finish(ctx context.Context, out io.Writer, rolls int, refusedAt, loweredFrom []int) error {
+	for deadline := time.Now().Add(90 * time.Second); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+		open, _ := l.open()
+		if len(open) == 0 {
+			break
+		}
+		for _, id := range open[:min(len(open), 20)] {
+			l.ask(ctx, id, false)
+		}
+	}
+	open, _ := l.open()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	slices.Sort(open)
+	byStatus := map[string]int{}
+	for _, j := range l.jobs {
+		byStatus[j.final]++
+	}
+	fmt.Fprintf(out, "%d rolls forward and back; levels lowered from %v, former ones refused at %v\n", rolls, counts(loweredFrom), counts(refusedAt))
+	fmt.Fprintf(out, "submissions: %d accepted, %d over 1 s, slowest %v, %d given up by their users\n", len(l.jobs), l.over1s, l.slowest.Round(time.Millisecond), l.refused)
+	fmt.Fprintf(out, "jobs: %d done, %d cancelled, %d lost %v\n", byStatus["done"], byStatus["withdrawn"], len(open), open[:min(10, len(open))])
+	broken := append(l.broken, l.f.Farm.Broken()...)
+	fmt.Fprintf(out, "rules broken: %d %s\n", len(broken), strings.Join(broken[:min(10, len(broken))], "; "))
+	if len(broken) > 0 || len(open) > 0 {
+		return errors.New("something was lost or broken")
+	}
+	return nil
+}
+
+func counts(levels []int) map[int]int {
+	out := map[int]int{}
+	for _, n := range levels {
+		out[n]++
+	}
+	return out
+}
+
+// command gives a person's command to any controller that takes it.
+func (f *Fleet) command(verb string) {
+	for k := range f.opts.Controllers {
+		resp, err := (&http.Client{Timeout: 3 * time.Second}).Post("http://"+f.Listen(k)+"/rollout/"+verb, "", nil)
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return
+		}
+	}
+}
+
+// level is the fleet's level, as the state service has it.
+func (f *Fleet) level() int {
+	for _, kv := range f.State.Dir(statekv.LevelKey) {
+		if l, err := rollout.ParseLevel(kv.Value); err == nil {
+			return l.N
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/fakes/farm.go
@@ -0,0 +1,284 @@
+package fakes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os/exec"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"robinstack/cloud"
+	"robinstack/job"
+)
+
+// Farm is a cloud on loopback whose machines have workers that run small commands, by
+// the published protocols. It keeps a history and says what broke a rule.
+type Farm struct {
+	ctx         context.Context
+	types       []cloud.MachineType
+	most        int               // machines of each type, zone and kind
+	controllers map[string]string // addresses by host
+	report      time.Duration
+	lease       time.Duration
+	spec        func(job string) (*job.Spec, error) // what users uploaded
+
+	mu       sync.Mutex
+	boxes    map[string]*Box
+	requests map[string][]string
+	count    int
+	done     map[string]bool            // tasks that have completed
+	on       map[string]*run            // where a task is
+	gangs    map[string]map[string]*run // tasks on machines, by job and attempt
+	starts   int
+	broken   []string
+}
+
+// FarmConfig says what a farm is like.
+type FarmConfig struct {
+	Types         []cloud.MachineType
+	Most          int
+	Controllers   map[string]string
+	Report, Lease time.Duration
+	Spec          func(job string) (*job.Spec, error)
+}
+
+// NewFarm returns a farm without machines, whose workers run until ctx ends.
+func NewFarm(ctx context.Context, c FarmConfig) *Farm {
+	return &Farm{ctx: ctx, types: c.Types, most: c.Most, controllers: c.Controllers, report: c.Report, lease: c.Lease, spec: c.Spec,
+		boxes: map[string]*Box{}, requests: map[string][]string{}, done: map[string]bool{}, on: map[string]*run{}, gangs: map[string]map[string]*run{}}
+}
+
+// Broken lists the rules that were broken.
+func (f *Farm) Broken() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.broken)
+}
+
+// Starts counts the starts of tasks, and Completed tells whether one has completed.
+func (f *Farm) Starts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts
+}
+
+// Completed reports whether a task has completed.
+func (f *Farm) Completed(task string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.done[task]
+}
+
+// ServeHTTP answers as the cloud does.
+func (f *Farm) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.Method + " " + r.URL.Path {
+	case "GET /machine_types":
+		answer(w, http.StatusOK, map[string]any{"host_kinds": f.types})
+	case "GET /hosts":
+		answer(w, http.StatusOK, map[string]any{"hosts": f.list(r.URL.Query().Get("since")), "truncated": false})
+	case "POST /hosts":
+		var in cloud.Rental
+		if json.NewDecoder(r.Body).Decode(&in) != nil {
+			answer(w, http.StatusBadRequest, nil)
+			return
+		}
+		if names := f.rent(in); len(names) > 0 {
+			answer(w, http.StatusOK, map[string]any{"hosts": names})
+			return
+		}
+		answer(w, http.StatusServiceUnavailable, map[string]string{"error": "no capacity"})
+	case "POST /hosts/delete":
+		var in struct {
+			Names []string `json:"hosts"`
+		}
+		if json.NewDecoder(r.Body).Decode(&in) != nil {
+			answer(w, http.StatusBadRequest, nil)
+			return
+		}
+		for _, name := range in.Names {
+			f.mu.Lock()
+			b := f.boxes[name]
+			delete(f.boxes, name)
+			f.mu.Unlock()
+			if b != nil {
+				b.stop()
+				b.clear()
+			}
+		}
+		answer(w, http.StatusOK, struct{}{})
+	default:
+		answer(w, http.StatusBadRequest, nil)
+	}
+}
+
+func (f *Farm) list(since string) []cloud.Machine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := []cloud.Machine{}
+	for name, b := range f.boxes {
+		if name > since {
+			out = append(out, cloud.Machine{Name: name, Address: b.address, Type: b.typ.Name, Zone: b.zone, Spot: b.spot, Status: "running", AgeS: time.Since(b.since).Seconds()})
+		}
+	}
+	slices.SortFunc(out, func(a, b cloud.Machine) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+func (f *Farm) rent(r cloud.Rental) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if names, again := f.requests[r.Request]; again {
+		return names
+	}
+	at := slices.IndexFunc(f.types, func(t cloud.MachineType) bool { return t.Name == r.Type })
+	if at < 0 {
+		return nil
+	}
+	there := 0
+	for _, b := range f.boxes {
+		if b.typ.Name == r.Type && b.zone == r.Zone && b.spot == r.Spot {
+			there++
+		}
+	}
+	var names []string
+	for ; there < f.most && len(names) < r.Count; there++ {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			break
+		}
+		f.count++
+		ctx, stop := context.WithCancel(f.ctx)
+		b := &Box{farm: f, name: fmt.Sprintf("vm-%06d", f.count), address: ln.Addr().String(), typ: f.types[at], zone: r.Zone, spot: r.Spot,
+			since: time.Now(), ctx: ctx, stop: stop, changed: make(chan struct{}, 1), session: 1, tasks: map[string]*run{}}
+		f.boxes[b.name] = b
+		names = append(names, b.name)
+		go b.run(ln)
+	}
+	if len(names) > 0 {
+		f.requests[r.Request] = names
+	}
+	return names
+}
+
+// began books that a task is on a machine. The farm's mutex guards the history.
+func (f *Farm) began(r *run) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.starts++
+	if other := f.on[r.id]; other != nil {
+		f.broken = append(f.broken, fmt.Sprintf("ran_twice: %s starts on %s while it is on %s", r.id, r.box.name, other.box.name))
+	}
+	f.on[r.id] = r
+	key := r.gang()
+	if f.gangs[key] == nil {
+		f.gangs[key] = map[string]*run{}
+	}
+	f.gangs[key][r.id] = r
+}
+
+// ended books that it is not any more.
+func (f *Farm) ended(r *run, done bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.on[r.id] == r {
+		delete(f.on, r.id)
+	}
+	if f.gangs[r.gang()][r.id] == r {
+		delete(f.gangs[r.gang()], r.id)
+	}
+	if len(f.gangs[r.gang()]) == 0 {
+		delete(f.gangs, r.gang())
+	}
+	if done {
+		f.done[r.id] = true
+	}
+}
+
+// together reports whether all tasks of a gang's attempt are on machines.
+func (f *Farm) together(r *run) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.gangs[r.gang()]) == r.spec.Tasks
+}
+
+// run is one attempt at a task on a machine.
+type run struct {
+	box     *Box
+	id      string
+	attempt uint64
+	spec    *job.Spec
+	state   string
+	cause   string
+	stop    chan struct{}
+	stopped bool
+}
+
+func (r *run) gang() string {
+	id, _, _ := strings.Cut(r.id, "/")
+	return fmt.Sprint(id, " ", r.attempt)
+}
+
+// play takes the task through its states. Commands are small: what the image names
+// after "sh:" is run by the shell, and anything else takes as long as its owner guessed.
+func (r *run) play() {
+	step := func(state, cause string) {
+		r.box.mu.Lock()
+		if r.state != "ended" {
+			r.state, r.cause = state, cause
+		}
+		r.box.mu.Unlock()
+		r.box.tell()
+	}
+	r.box.farm.began(r)
+	finish := func(cause string) {
+		step("ended", cause)
+		r.box.farm.ended(r, cause == "done")
+	}
+	gathered := time.After(20 * time.Second)
+	for r.spec.Shape == job.Gang && !r.box.farm.together(r) {
+		step("gathering", "")
+		select {
+		case <-r.stop:
+			finish("stopped")
+			return
+		case <-gathered:
+			finish("incomplete")
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	step("running", "")
+	ctx, cancel := context.WithCancel(r.box.ctx)
+	defer cancel()
+	over := make(chan error, 1)
+	go func() { over <- command(ctx, r.spec) }()
+	select {
+	case <-r.stop:
+		cancel()
+		<-over
+		finish("stopped")
+	case err := <-over:
+		if err != nil {
+			finish("error")
+			return
+		}
+		finish("done")
+	}
+}
+
+func command(ctx context.Context, s *job.Spec) error {
+	if line, ok := strings.CutPrefix(s.Image, "sh:"); ok {
+		return exec.CommandContext(ctx, "sh", "-c", line).Run()
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(time.Duration(s.EstimateS * float64(time.Second))):
+		return nil
+	}
+}
--- a/fakes/state.go
+++ b/fakes/state.go
@@ -21,6 +21,8 @@
 	keys    map[string]statekv.KV
 	leased  map[string]uint64
 	leases  map[uint64]time.Time
+	ttls    map[uint64]time.Duration // of leases granted over HTTP, which end by themselves
+	granted uint64
 	events  []statekv.Event
 	changed chan struct{}
 
@@ -41,7 +43,7 @@
 
 // NewState returns an empty store.
 func NewState() *State {
-	return &State{rev: 1, keys: map[string]statekv.KV{}, leased: map[string]uint64{}, leases: map[uint64]time.Time{}, changed: make(chan struct{})}
+	return &State{rev: 1, keys: map[string]statekv.KV{}, leased: map[string]uint64{}, leases: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{}, changed: make(chan struct{})}
 }
 
 // NewEmptyState returns a store in which nothing has ever been written.
@@ -156,7 +158,8 @@
 	if s.Down {
 		return 0, statekv.ErrRefused
 	}
-	id := uint64(len(s.leases) + 1)
+	s.granted++
+	id := s.granted
 	s.leases[id] = time.Now().Add(ttl)
 	return id, nil
 }
