Revert "Steward: the first gang refused at its team's limit gathers what it needs"

What is kept back while a gang gathers, and waits for machines too, is lost to the others of its team: it has to be gathered together with the machines (docs/served.md).

--- a/placer/place.go
+++ b/placer/place.go
@@ -357,9 +357,9 @@
 	if !p.settings.Limited(j.spec.Team) {
 		return true
 	}
-	req := steward.PermitRequest{Slot: j.slot, Epoch: epoch, Probe: true, Gang: true}
+	req := steward.PermitRequest{Slot: j.slot, Epoch: epoch, Probe: true}
 	for range n {
-		req.Wants = append(req.Wants, steward.Want{Ref: agent.TaskRef{Job: j.spec.ID}, Team: j.spec.Team, Need: j.spec.Need})
+		req.Wants = append(req.Wants, steward.Want{Team: j.spec.Team, Need: j.spec.Need})
 	}
 	cctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
@@ -475,7 +475,7 @@
 	if !p.settings.Limited(j.spec.Team) {
 		return bindings, 0
 	}
-	req := steward.PermitRequest{Slot: j.slot, Epoch: epoch, Gang: j.spec.Shape == job.Gang}
+	req := steward.PermitRequest{Slot: j.slot, Epoch: epoch}
 	for _, b := range bindings {
 		req.Wants = append(req.Wants, steward.Want{Ref: b.ref, Team: j.spec.Team, Need: j.spec.Need})
 	}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -9,7 +9,6 @@
 	"errors"
 	"log/slog"
 	"maps"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -38,7 +37,6 @@
 	cleared map[string]bool
 	settled bool
 	ledger  ledger
-	gathers gathers
 	demand  map[string]demandAt
 	fleet   fleet
 }
@@ -51,7 +49,7 @@
 // New returns a steward that does not hold the role yet.
 func New(settings *config.Settings, pol *policy.Policy, mirror *statekv.Mirror, member *statekv.Member, call agent.Caller, api cloud.API, catalogue *cloud.Catalogue) *Steward {
 	return &Steward{settings: settings, policy: pol, mirror: mirror, member: member, call: call, cloud: api, catalogue: catalogue,
-		ledger: newLedger(), gathers: gathers{}, demand: map[string]demandAt{}, fleet: newFleet()}
+		ledger: newLedger(), demand: map[string]demandAt{}, fleet: newFleet()}
 }
 
 // Epoch is the steward epoch if this controller is steward, or 0.
@@ -202,21 +200,17 @@
 	if len(s.catalogue.Types()) == 0 {
 		return nil
 	}
-	now := time.Now()
 	added := map[string]job.Need{}
 	for i, w := range r.Wants {
 		team := s.settings.Teams[w.Team]
 		total := added[w.Team].Add(w.Need, 1)
-		most := use[w.Team].Add(total, 1).Add(blank, 1).Add(s.gathers.kept(w.Team, w.Ref.Job, now), 1)
+		most := use[w.Team].Add(total, 1).Add(blank, 1)
 		if team.CPUsMax > 0 && most.CPUs > team.CPUsMax || team.GPUsMax > 0 && most.GPUs > team.GPUsMax {
 			continue
 		}
 		added[w.Team] = total
 		reply.Granted[i] = true
 	}
-	if r.Gang && len(r.Wants) > 0 {
-		s.gather(r.Wants, reply.Granted, now)
-	}
 	for i, w := range r.Wants {
 		if reply.Granted[i] && !r.Probe {
 			s.ledger.grant(w.Ref, permit{account: account{team: w.Team, need: w.Need}, slot: r.Slot, epoch: r.Epoch})
@@ -225,17 +219,6 @@
 	return nil
 }
 
-// gather has a gang get all or nothing, and keep its place if it is nothing.
-func (s *Steward) gather(wants []Want, granted []bool, now time.Time) {
-	team, id := wants[0].Team, wants[0].Ref.Job
-	if !slices.Contains(granted, false) {
-		s.gathers.granted(team, id)
-		return
-	}
-	clear(granted)
-	s.gathers.refused(team, id, job.Need{}.Add(wants[0].Need, float64(len(wants))), now)
-}
-
 // Demand takes note of what a controller's jobs need.
 func (v *Service) Demand(r DemandRequest, _ *struct{}) error {
 	s := v.steward
--- a/steward/wire.go
+++ b/steward/wire.go
@@ -19,7 +19,6 @@
 	Wants   []Want
 	Release []agent.TaskRef
 	Probe   bool // only say what would be granted
-	Gang    bool // the wants are all tasks of one gang: all are granted or none
 	Settled bool // the slot has settled: earlier epochs' unused permits are void
 }
 
