--- a/cmd/robinstack/dev.go
+++ b/cmd/robinstack/dev.go
@@ -14,8 +14,7 @@
 func devCommand() *cobra.Command {
 	var o dev.Options
 	var try bool
-	var rolls int
-	var former string
+	var load dev.Load
 	cmd := &cobra.Command{
 		Use: "dev", Short: "Run a whole service on this machine, with stand-ins for everything around it", Args: cobra.NoArgs,
 		Long: "dev starts a state service, a cloud and workers that run small commands, all stand-ins on loopback, and controllers as processes of their own. Interrupt it to end all of it.",
@@ -37,8 +36,8 @@
 				return err
 			}
 			switch {
-			case rolls > 0:
-				return f.Roll(ctx, out, rolls, former)
+			case load.Rolls > 0:
+				return f.Roll(ctx, out, load)
 			case try:
 				return f.Try(rctx, out)
 			}
@@ -62,8 +61,15 @@
 	cmd.Flags().StringArrayVar(&o.Programs, "controller", nil, "program of one controller, in their order; repeat it for more. The others run this program")
 	cmd.Flags().StringVar(&o.Policy, "policy", "", "policy file for the controllers that run this program")
 	cmd.Flags().StringVar(&o.Logs, "logs", "", "directory for the controllers' logs; without it they go when all ends")
+	cmd.Flags().IntVar(&o.Machines, "machines", 24, "how many machines the cloud has")
+	cmd.Flags().Float64Var(&o.GPUs, "gpus", 8, "GPUs of each machine")
+	cmd.Flags().IntVar(&load.Running, "running", 20, "tasks that are to run at a time, for --rolls")
+	cmd.Flags().Float64Var(&load.Seconds, "seconds", 1.3, "how long a task runs on average, for --rolls")
+	cmd.Flags().Float64Var(&load.Tasks, "tasks", 3, "tasks a job has on average, for --rolls")
+	cmd.Flags().DurationVar(&load.Warmup, "warmup", 0, "time before the first roll, for --rolls")
+	cmd.Flags().DurationVar(&load.Pause, "pause", 1500*time.Millisecond, "longest time between the end of a controller's start and the next one's end, for --rolls")
 	cmd.Flags().BoolVar(&try, "try", false, "submit a job, see it done, and end")
-	cmd.Flags().IntVar(&rolls, "rolls", 0, "roll the controllers so many times from --former to this program and back under load, killing them at any moment, and tell what was lost")
-	cmd.Flags().StringVar(&former, "former", "", "program of the former version, for --rolls")
+	cmd.Flags().IntVar(&load.Rolls, "rolls", 0, "roll the controllers so many times from --former to this program and back under load, killing them at any moment, and tell what was lost")
+	cmd.Flags().StringVar(&load.Former, "former", "", "program of the former version, for --rolls")
 	return cmd
 }
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -30,8 +30,10 @@
 	Controllers int      // how many
 	Programs    []string // of single controllers, in their order; the others run Program
 	Program     string
-	Policy      string // policy file for those that run Program, or ""
-	Logs        string // directory for their logs, or "" for a temporary one
+	Policy      string  // policy file for those that run Program, or ""
+	Logs        string  // directory for their logs, or "" for a temporary one
+	Machines    int     // how many the cloud has
+	GPUs        float64 // of each machine
 }
 
 // Fleet is a running service.
@@ -58,6 +60,10 @@
 
 var hosts = []string{"host-0", "host-1", "host-2", "host-3", "host-4", "host-5", "host-6", "host-7"}
 
+// pools are the kinds of machines that the cloud tells apart: ordinary and spot ones, in
+// each zone.
+var pools = 2 * len(zones)
+
 // most is how many controllers there may be.
 const most = 8
 
@@ -80,8 +86,6 @@
 
 var zones = []string{"north", "south"}
 
-var types = []cloud.MachineType{{Name: "box", CPUs: 16, GPUs: 8, MemoryGB: 128, CacheGB: 100, FetchGBPerS: 10, Price: 10, SpotPrice: 4, BootS: 0.5, Zones: zones}}
-
 // Start starts everything and returns once the controllers run. An error leaves
 // nothing running.
 func Start(ctx context.Context, o Options) (*Fleet, error) {
@@ -100,7 +104,8 @@
 	for k := range o.Controllers {
 		controllers[hosts[k]] = f.Listen(k)
 	}
-	f.Farm = fakes.NewFarm(ctx, fakes.FarmConfig{Types: types, Most: 6, Controllers: controllers, Report: time.Second, Lease: 8 * time.Second, Spec: f.spec})
+	types := []cloud.MachineType{{Name: "box", CPUs: 16, GPUs: o.GPUs, MemoryGB: 128, CacheGB: 100, FetchGBPerS: 10, Price: 10, SpotPrice: 4, BootS: 0.5, Zones: zones}}
+	f.Farm = fakes.NewFarm(ctx, fakes.FarmConfig{Types: types, Most: max(1, o.Machines/pools), Controllers: controllers, Report: time.Second, Lease: 8 * time.Second, Spec: f.spec})
 	err = f.start(controllers)
 	if err != nil {
 		f.Stop()
@@ -187,7 +192,7 @@
 		"teams":      []map[string]any{{"name": "crew", "cpus": 0, "cpus_max": 0, "gpus": 0, "gpus_max": 0}},
 		"objectives": []map[string]any{{"kind": "wait", "class": "try", "within_s": 10, "share": 0.9}},
 		"workers":    map[string]float64{"report_s": 1, "lease_s": 8, "gang_wait_s": 20, "gang_peer_s": 3, "cancel_s": 20},
-		"state":      map[string]float64{"rps": 400, "write_rps": 200, "value_kb": 8, "txn_ops": 24},
+		"state":      map[string]float64{"rps": 200, "write_rps": 75, "value_kb": 8, "txn_ops": 24},
 		"cloud":      map[string]float64{"rps": 20, "list_lag_s": 1}, "clock_off_ms": 10,
 		"quota": map[string]float64{"cores": 1, "memory_mb": 512, "max_connections": 2000},
 	}
--- a/dev/rolls.go
+++ b/dev/rolls.go
@@ -19,6 +19,17 @@
 // Example is a submission to try by hand.
 const Example = `{"id":"wk-1","job_class":"try","owner":"crew","shape":"sweep","rank":"normal","pieces":4,"cpus":1,"gpus":1,"mem_gb":1,"bundle":"sh:echo tried; sleep 3","pull_gb":0.1,"host_kinds":null,"site":null,"one_zone":false,"spread":false,"loaners":true,"guess_s":3,"snapshot_every_s":0,"snapshot_s":0,"due_s":null}`
 
+// Load says how often to roll, from and to what, and what goes on meanwhile.
+type Load struct {
+	Rolls   int
+	Former  string // program of the former version
+	Running int    // tasks that are to run at a time
+	Tasks   float64
+	Seconds float64
+	Pause   time.Duration
+	Warmup  time.Duration
+}
+
 // known is what a user was told of a job.
 type known struct {
 	tasks     int
@@ -31,6 +42,7 @@
 // what they were told.
 type load struct {
 	f      *Fleet
+	of     Load
 	client *Client
 
 	mu      sync.Mutex
@@ -54,11 +66,11 @@
 	l.count++
 	n := l.count
 	l.mu.Unlock()
-	id, tasks, shape := fmt.Sprintf("wk-%08d", n), 1+rand.IntN(6), "sweep"
+	id, tasks, shape := fmt.Sprintf("wk-%08d", n), 1+rand.IntN(int(2*l.of.Tasks)), "sweep"
 	if n%4 == 0 {
 		shape, tasks = "gang", 1+rand.IntN(3)
 	}
-	s := Submission(id, shape, "", tasks, float64(1+rand.IntN(4)), 0.3+2*rand.Float64())
+	s := Submission(id, shape, "", tasks, 1, l.of.Seconds*(0.25+1.5*rand.Float64()))
 	began := time.Now()
 	for time.Since(began) < time.Minute && ctx.Err() == nil {
 		a, err := l.client.Submit(ctx, l.address(), s)
@@ -149,7 +161,8 @@
 			}
 		})
 	}
-	every(150*time.Millisecond, func() { l.submit(ctx) })
+	rate := float64(l.of.Running) / (l.of.Tasks * l.of.Seconds) // jobs a second
+	every(time.Duration(float64(time.Second)/rate), func() { l.submit(ctx) })
 	every(50*time.Millisecond, func() {
 		open, over := l.open()
 		if len(open) > 0 {
@@ -166,11 +179,11 @@
 // former one, so many times, under load; each is killed at any moment, some twice. On the
 // way back the level is lowered first, or, every third time, not: then the former ones
 // must be refused without harm, and are replaced again. It tells what was lost.
-func (f *Fleet) Roll(ctx context.Context, out io.Writer, rolls int, former string) error {
-	if former == "" {
-		return errors.New("--former is missing")
+func (f *Fleet) Roll(ctx context.Context, out io.Writer, of Load) error {
+	if of.Former == "" || of.Running < 1 || of.Tasks < 1 || of.Seconds <= 0 {
+		return errors.New("--former is missing, or the load is none")
 	}
-	l := &load{f: f, client: NewClient(), jobs: map[string]*known{}}
+	l := &load{f: f, of: of, client: NewClient(), jobs: map[string]*known{}}
 	lctx, stop := context.WithCancel(ctx)
 	defer stop()
 	var users sync.WaitGroup
@@ -189,14 +202,18 @@
 				if err := f.Launch(k, program); err != nil {
 					return err
 				}
-				pause(1500 * time.Millisecond)
+				pause(of.Pause)
 			}
 		}
 		return ctx.Err()
 	}
 	var refusedAt, loweredFrom []int
+	select {
+	case <-ctx.Done():
+	case <-time.After(of.Warmup):
+	}
 	began := time.Now()
-	for n := range rolls {
+	for n := range of.Rolls {
 		if err := replace(f.opts.Program); err != nil {
 			return err
 		}
@@ -211,11 +228,11 @@
 				f.command("lower")
 			}
 		}
-		if err := replace(former); err != nil {
+		if err := replace(of.Former); err != nil {
 			return err
 		}
 		pause(2 * time.Second)
-		if (n+1)%5 == 0 || n+1 == rolls {
+		if (n+1)%5 == 0 || n+1 == of.Rolls {
 			l.mu.Lock()
 			fmt.Fprintf(out, "%d rolls in %v: %d jobs accepted, %d starts, broken: %d here, %d seen by workers\n", n+1, time.Since(began).Round(time.Second), len(l.jobs), f.Farm.Starts(), len(l.broken), len(f.Farm.Broken()))
 			l.mu.Unlock()
@@ -226,7 +243,7 @@
 	}
 	stop()
 	users.Wait()
-	return l.finish(ctx, out, rolls, refusedAt, loweredFrom)
+	return l.finish(ctx, out, of.Rolls, refusedAt, loweredFrom)
 }
 
 // finish waits until all accepted jobs are over, and tells what became of them.
@@ -250,6 +267,8 @@
 	}
 	fmt.Fprintf(out, "%d rolls forward and back; levels lowered from %v, former ones refused at %v\n", rolls, counts(loweredFrom), counts(refusedAt))
 	fmt.Fprintf(out, "submissions: %d accepted, %d over 1 s, slowest %v, %d given up by their users\n", len(l.jobs), l.over1s, l.slowest.Round(time.Millisecond), l.refused)
+	again, gap := l.f.Farm.Again()
+	fmt.Fprintf(out, "tasks: %d starts, %d of them of tasks that had been started before; longest time without a start %v\n", l.f.Farm.Starts(), again, gap.Round(time.Millisecond))
 	fmt.Fprintf(out, "jobs: %d done, %d cancelled, %d lost %v\n", byStatus["done"], byStatus["withdrawn"], len(open), open[:min(10, len(open))])
 	broken := append(l.broken, l.f.Farm.Broken()...)
 	fmt.Fprintf(out, "rules broken: %d %s\n", len(broken), strings.Join(broken[:min(10, len(broken))], "; "))
--- a/fakes/farm.go
+++ b/fakes/farm.go
@@ -35,6 +35,10 @@
 	on       map[string]*run            // where a task is
 	gangs    map[string]map[string]*run // tasks on machines, by job and attempt
 	starts   int
+	before   map[string]bool // tasks that have been started
+	again    int
+	lastAt   time.Time
+	gap      time.Duration // longest time between two starts
 	broken   []string
 }
 
@@ -50,7 +54,7 @@
 // NewFarm returns a farm without machines, whose workers run until ctx ends.
 func NewFarm(ctx context.Context, c FarmConfig) *Farm {
 	return &Farm{ctx: ctx, types: c.Types, most: c.Most, controllers: c.Controllers, report: c.Report, lease: c.Lease, spec: c.Spec,
-		boxes: map[string]*Box{}, requests: map[string][]string{}, done: map[string]bool{}, on: map[string]*run{}, gangs: map[string]map[string]*run{}}
+		boxes: map[string]*Box{}, requests: map[string][]string{}, done: map[string]bool{}, on: map[string]*run{}, gangs: map[string]map[string]*run{}, before: map[string]bool{}}
 }
 
 // Broken lists the rules that were broken.
@@ -67,6 +71,14 @@
 	return f.starts
 }
 
+// Again counts the starts of tasks that had been started before, and tells the longest
+// time without a start.
+func (f *Farm) Again() (again int, gap time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.again, f.gap
+}
+
 // Completed reports whether a task has completed.
 func (f *Farm) Completed(task string) bool {
 	f.mu.Lock()
@@ -170,6 +182,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.starts++
+	if f.before[r.id] {
+		f.again++
+	}
+	f.before[r.id] = true
+	now := time.Now()
+	if !f.lastAt.IsZero() {
+		f.gap = max(f.gap, now.Sub(f.lastAt))
+	}
+	f.lastAt = now
 	if other := f.on[r.id]; other != nil {
 		f.broken = append(f.broken, fmt.Sprintf("ran_twice: %s starts on %s while it is on %s", r.id, r.box.name, other.box.name))
 	}
