--- a/cmd/robinstack/rollout.go
+++ b/cmd/robinstack/rollout.go
@@ -64,6 +64,9 @@
 	if err != nil {
 		return fmt.Errorf("reading the answer: %w", err)
 	}
+	if resp.StatusCode == http.StatusNotFound {
+		return errors.New("this controller's version does not know roll-outs: ask one that has been replaced")
+	}
 	if resp.StatusCode != http.StatusOK {
 		var failed struct {
 			Error string `json:"error"`
--- /dev/null
+++ b/placer/form0_test.go
@@ -0,0 +1,71 @@
+package placer_test
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"robinstack/ended"
+	"robinstack/job"
+	"robinstack/rollout"
+	"robinstack/statekv"
+	"robinstack/worker"
+)
+
+// All controllers of the version before there were levels end at once, and this one is
+// started on what they left: unfinished jobs are taken up, each task is started once
+// its machine's lease is over, what was done or cancelled stays so, and the records of
+// later ends have the form that the former version reads.
+func TestStateOfFormZeroIsTakenUp(t *testing.T) {
+	story(t, func(w *world) {
+		raw, err := os.ReadFile("../rollout/testdata/form0.json")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var dump statekv.Page
+		if err := json.Unmarshal(raw, &dump); err != nil {
+			t.Fatal(err)
+		}
+		before, open := map[string]string{}, []string{}
+		for _, kv := range dump.Items {
+			if _, node := strings.CutPrefix(kv.Key, statekv.NodePrefix); node {
+				continue // their leases have ended
+			}
+			if _, err := w.state.Txn(w.ctx, nil, []statekv.Op{{Set: kv.Key, Value: kv.Value}}); err != nil {
+				t.Fatal(err)
+			}
+			if id, ok := strings.CutPrefix(kv.Key, job.OpenPrefix); ok {
+				open = append(open, id)
+			}
+			if id, r, ok, _ := ended.Parse(kv.Key, kv.Value); ok {
+				before[id] = r.Status
+			}
+		}
+		w.start("host-0")
+		for range 60 {
+			w.run(5 * time.Second)
+			w.endAll(worker.Done)
+		}
+		for id, status := range before {
+			if got := w.final(id); got != status {
+				t.Errorf("%s was %s and is %s", id, status, got)
+			}
+		}
+		for _, id := range open {
+			kv, err := w.state.Get(w.ctx, ended.FormerKey(id))
+			if err != nil || w.final(id) != job.Done {
+				t.Errorf("%s: %s %v", id, kv.Value, err)
+			}
+		}
+		for task, n := range w.starts() {
+			if n != 1 {
+				t.Errorf("%s was started %d times", task, n)
+			}
+		}
+		if r, err := rollout.ReadStore(w.ctx, w.state); err != nil || !r.Readable() {
+			t.Errorf("%+v %v", r, err)
+		}
+	})
+}
--- a/rollout/story_test.go
+++ b/rollout/story_test.go
@@ -400,6 +400,8 @@
 		wait("half of the move", func() bool { return count(ended.Prefix) > jobs/2 })
 		f.state.Set(true, false)
 		time.Sleep(20 * time.Second)
+		f.state.Set(false, true) // answers are lost: what was sent is carried out
+		time.Sleep(20 * time.Second)
 		f.state.Set(false, false)
 		if err := f.start("host-1", true); err != nil { // which is steward now
 			t.Fatal(err)
