dev: processes end with it, and on interrupt in its own order

Cause: a terminal's interrupt reached the controllers too, so that dev could report one that had ended by itself; and killed, it left them running.

--- a/dev/dev.go
+++ b/dev/dev.go
@@ -16,7 +16,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"robinstack/cloud"
@@ -219,7 +218,7 @@
 	defer log.Close()
 	cmd := exec.Command(program, args...)
 	cmd.Stderr, cmd.Stdout = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	cmd.SysProcAttr = own()
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("starting %s: %w", hosts[k], err)
 	}
