Roles of a form that this build does not know are left alone

Need: what a later version wrote must never be overwritten. A slot's, the steward's and a shard's key are read in one place, which tells an unknown form from a damaged value; unknown ones are listed and not taken. A transaction that only compares does not wait for the share of changes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -280,9 +280,9 @@
 		l.Mirror.Unreadable(open.Key, err)
 		return 0, 0
 	}
-	var h statekv.Holder
 	kv, ok := l.Mirror.Get(statekv.SlotPrefix + rec.Slot)
-	if !ok || json.Unmarshal(kv.Value, &h) != nil || h.Host == g.settings.Host || !l.Member.Alive(h) {
+	h, err := statekv.HolderOf(kv)
+	if !ok || err != nil || h.Host == g.settings.Host || !l.Member.Alive(h) {
 		return 0, 0
 	}
 	cctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
--- a/placer/form0_test.go
+++ b/placer/form0_test.go
@@ -69,3 +69,38 @@
 		}
 	})
 }
+
+// What a later version wrote is left alone, and the rest is served: a slot and a record
+// of forms that this build does not know are neither taken nor changed, and are listed.
+func TestUnknownFormsAreLeftAlone(t *testing.T) {
+	story(t, func(w *world) {
+		later := map[string]any{
+			statekv.SlotPrefix + "host-9.1": map[string]any{"form": 1, "host": "host-9", "instance": 1},
+			job.OpenPrefix + "wk-7":         map[string]any{"form": 3, "what": "ever"},
+		}
+		for key, v := range later {
+			if _, err := w.state.Txn(w.ctx, nil, []statekv.Op{{Set: key, Value: v}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		n := w.start("host-0")
+		w.run(3 * time.Second)
+		w.submit(n, spec("wk-1", job.Array, 2, 1))
+		w.run(10 * time.Second)
+		w.endAll(worker.Done)
+		w.run(5 * time.Second)
+		if w.final("wk-1") != job.Done {
+			t.Error("the rest is not served")
+		}
+		for key, v := range later {
+			want, _ := json.Marshal(v)
+			kv, err := w.state.Get(w.ctx, key)
+			if err != nil || string(kv.Value) != string(want) {
+				t.Errorf("%s: %s, %v", key, kv.Value, err)
+			}
+		}
+		if bad := n.mirror.Bad(); bad[statekv.SlotPrefix+"host-9.1"] == "" {
+			t.Errorf("listed: %v", bad)
+		}
+	})
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -414,8 +414,8 @@
 
 func (p *Placer) stewardHost() (string, bool) {
 	kv, ok := p.mirror.Get(statekv.StewardKey)
-	var h statekv.Holder
-	if !ok || json.Unmarshal(kv.Value, &h) != nil || !p.member.Alive(h) {
+	h, err := statekv.HolderOf(kv)
+	if !ok || err != nil || !p.member.Alive(h) {
 		return "", false
 	}
 	return h.Host, true
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"log/slog"
@@ -82,9 +81,8 @@
 	p.mu.Lock()
 	none := p.home == ""
 	for id, s := range p.slots {
-		var h statekv.Holder
 		kv, ok := p.mirror.Get(statekv.SlotPrefix + id)
-		if ok && kv.Rev > s.epoch && json.Unmarshal(kv.Value, &h) == nil && h != p.member.Holder {
+		if h, err := statekv.HolderOf(kv); ok && kv.Rev > s.epoch && err == nil && h != p.member.Holder {
 			p.member.Replaced(fmt.Errorf("slot %s was taken by %s", id, h.Host))
 		}
 	}
@@ -119,12 +117,14 @@
 	ours := map[string]uint64{}
 	for _, kv := range p.mirror.Dir(statekv.SlotPrefix) {
 		id := strings.TrimPrefix(kv.Key, statekv.SlotPrefix)
-		var h statekv.Holder
+		h, err := statekv.HolderOf(kv)
 		p.mu.Lock()
 		held := p.slots[id] != nil
 		p.mu.Unlock()
 		switch {
-		case held || json.Unmarshal(kv.Value, &h) != nil:
+		case err != nil:
+			p.mirror.Unreadable(kv.Key, err)
+		case held:
 		case h == p.member.Holder:
 			ours[kv.Key] = kv.Rev // taken before, and the answer was lost
 		case !p.member.Alive(h) && heir(id, h.Host, heirs) == p.member.Host:
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -43,6 +43,7 @@
 	svc    *agent.Service
 	placer *placer.Placer
 	member *statekv.Member
+	mirror *statekv.Mirror
 	stop   context.CancelFunc
 	up     bool
 }
@@ -117,6 +118,7 @@
 			n.placer.OnJobEvent(e)
 		}
 	})
+	n.mirror = mirror
 	if err := mirror.Load(ctx); err != nil {
 		w.t.Fatal(err)
 	}
--- a/statekv/client.go
+++ b/statekv/client.go
@@ -264,8 +264,10 @@
 	if err := c.pace(ctx, c.reads, 1); err != nil {
 		return 0, err
 	}
-	if err := c.pace(ctx, c.writes, len(then)); err != nil {
-		return 0, err
+	if len(then) > 0 { // what only compares changes nothing, and need not wait for changes
+		if err := c.pace(ctx, c.writes, len(then)); err != nil {
+			return 0, err
+		}
 	}
 	r, err := c.send(ctx, http.MethodPost, "/txn", txnRequest{When: when, Then: then}, 0)
 	if err != nil {
--- a/statekv/member.go
+++ b/statekv/member.go
@@ -39,6 +39,22 @@
 	Instance uint64 `json:"instance"`
 }
 
+// RoleForm is the form of the keys of roles that this build writes and reads.
+const RoleForm = 0
+
+// HolderOf reads who holds a role by its key. A *FormError says that a later version
+// wrote it: then it must be left alone.
+func HolderOf(kv KV) (Holder, error) {
+	var h Holder
+	if err := CheckForm("a role's key", kv.Value, RoleForm); err != nil {
+		return h, err
+	}
+	if err := json.Unmarshal(kv.Value, &h); err != nil {
+		return h, fmt.Errorf("a role's key: %w", err)
+	}
+	return h, nil
+}
+
 // Role is a key that names its holder, as it was seen when its holder's life
 // was found to be over.
 type Role struct {
@@ -226,8 +242,7 @@
 	if readErr != nil {
 		return 0, err
 	}
-	var h Holder
-	if json.Unmarshal(kv.Value, &h) == nil && h == m.Holder {
+	if h, err := HolderOf(kv); err == nil && h == m.Holder {
 		return kv.Rev, nil
 	}
 	return 0, err
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"maps"
@@ -81,9 +80,11 @@
 
 func (s *Steward) hold(ctx context.Context) {
 	kv, ok := s.mirror.Get(statekv.StewardKey)
-	var h statekv.Holder
-	if ok && json.Unmarshal(kv.Value, &h) != nil {
-		h = statekv.Holder{}
+	h, err := statekv.HolderOf(kv)
+	var later *statekv.FormError
+	if ok && errors.As(err, &later) {
+		s.mirror.Unreadable(kv.Key, err)
+		return
 	}
 	if ok && h != s.member.Holder && s.member.Alive(h) {
 		s.mu.Lock()
