--- a/dev/rolls.go
+++ b/dev/rolls.go
@@ -93,9 +93,11 @@
 		}
 		time.Sleep(300 * time.Millisecond)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.refused++
+	if ctx.Err() == nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.refused++
+	}
 }
 
 // ask asks for a job, or cancels it, and holds the answer against earlier ones.
