--- a/dev/rolls.go
+++ b/dev/rolls.go
@@ -250,7 +250,8 @@
 
 // finish waits until all accepted jobs are over, and tells what became of them.
 func (l *load) finish(ctx context.Context, out io.Writer, rolls int, refusedAt, loweredFrom []int) error {
-	for deadline := time.Now().Add(90 * time.Second); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+	longest := time.Minute + time.Duration(4*l.of.Seconds*float64(time.Second))
+	for deadline := time.Now().Add(longest); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
 		open, _ := l.open()
 		if len(open) == 0 {
 			break
