Agent: a class that waits with less than its part is not stopped for one that has more

Now, where n classes have work, one that waits with less than an n-th of an owner's machines is not stopped by one that has more, unless that would miss the users' longest aim for its wait. Bounded by construction, and decided by each owner from what it knows.

Switched off by class_parts.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -49,6 +49,7 @@
 	zoneSize map[string]int // machines of the fleet, by zone
 	rooms    *rooms         // the machines by what is free on them
 	sharing  sharing        // what fetches side by side cost
+	parts    parts          // what classes have of the machines
 	turn     int            // which of turns parts of the machines is inspected
 	latest   list.List      // of *machine, in the order of their last changes
 	ver      uint64
--- a/agent/clear.go
+++ b/agent/clear.go
@@ -40,7 +40,7 @@
 		case !t.uses() || t.state == stateHeld || t.state == Starting:
 		case t.stop:
 			free = free.Add(t.spec.Need, 1)
-		case t.spec.Shape == job.Array && t.spec.Priority() < r.Spec.Priority():
+		case t.spec.Shape == job.Array && t.spec.Priority() < r.Spec.Priority() && !a.spared(t, r, m, now):
 			options = append(options, option{t, t.loss(now) + a.lateness(t, now)})
 		}
 	}
@@ -78,12 +78,16 @@
 
 // hurries reports whether a job that waits for room needs it made now to start
 // by the users' aim: with time left, gangs that end make room for nothing.
-func (a *Agent) hurries(r *Request, t cloud.MachineType) bool {
+func (a *Agent) hurries(r *Request, t cloud.MachineType) bool { return r.Left <= r.clearing(t) }
+
+// clearing is about how long it takes from room being made on a machine until the
+// job's tasks run there.
+func (r *Request) clearing(t cloud.MachineType) time.Duration {
 	fetch := time.Duration(0)
 	if t.FetchGBPerS > 0 {
 		fetch = time.Duration(1.5 * r.Spec.ImageGB / t.FetchGBPerS * float64(time.Second))
 	}
-	return r.Left <= fetch+2*claimTime
+	return fetch + 2*claimTime
 }
 
 // loss is what stopping the task costs, in GPU-seconds.
--- /dev/null
+++ b/agent/parts.go
@@ -0,0 +1,120 @@
+package agent
+
+import (
+	"math"
+	"time"
+
+	"robinstack/job"
+)
+
+// Ranks say who goes first, and gangs of a higher rank have room made by stopping what
+// arrays run. A class that is stopped as often as it starts never gets on: on a day on
+// which machines were lost, tasks of arrays held a fifth of what there was while gangs
+// held more than half, and room was made for more gangs still.
+//
+// So each class that has work has a part: where n classes have work, an n-th of what an
+// owner's machines hold. While a class waits with less than its part, a class that has
+// more than its own does not stop its tasks. What a waiting class has then falls only by
+// its own tasks' ends, and what others have beyond their parts goes, as it ends, to
+// whoever is first in the queue. Each owner sees to it for its own machines, by what it
+// knows anyway; jobs and machines are spread over owners, so that the fleet's parts are
+// those of its owners. Teams without a guarantee where others have one, and work of the
+// lowest rank, fill what is spare: they have no part.
+
+// parts is what the classes have of an owner's machines. The agent's mutex guards it.
+type parts struct {
+	at    time.Time
+	use   map[string]float64   // machines, counted by the largest share of any amount, by class
+	all   float64              // machines that there are
+	asked map[string]time.Time // classes that found too little room, and when last
+}
+
+const (
+	// partsEvery is how often the machines are added up.
+	partsEvery = 500 * time.Millisecond
+	// stillWaits is how long a class counts as waiting after a request that found too
+	// little room: its placers come again after a second or two.
+	stillWaits = 4 * time.Second
+)
+
+// hasPart reports whether jobs like this one have a part.
+func (a *Agent) hasPart(s *job.Spec) bool {
+	return s.Priority() > job.LowestPriority && !a.settings.Guest(s.Team)
+}
+
+// partsNow returns the parts as of a moment ago. The mutex is held.
+func (a *Agent) partsNow(now time.Time) *parts {
+	p := &a.parts
+	if now.Sub(p.at) < partsEvery && p.use != nil {
+		return p
+	}
+	p.at, p.use, p.all = now, map[string]float64{}, 0
+	types := a.types()
+	for _, m := range a.machines {
+		t, known := types[m.typeName]
+		if m.gone || m.removing || !known {
+			continue
+		}
+		p.all++
+		for _, t2 := range m.tasks {
+			if t2.uses() && t2.spec != nil && !t2.stop && a.hasPart(t2.spec) {
+				p.use[t2.spec.Class] += share(t2.spec.Need, job.Capacity(t))
+			}
+		}
+	}
+	for class, at := range p.asked {
+		if now.Sub(at) > stillWaits {
+			delete(p.asked, class)
+		}
+	}
+	return p
+}
+
+// share is the part of a machine that a task takes.
+func share(need, capacity job.Need) float64 {
+	most := 0.0
+	for _, v := range [][2]float64{{need.CPUs, capacity.CPUs}, {need.GPUs, capacity.GPUs}, {need.MemoryGB, capacity.MemoryGB}} {
+		if v[1] > 0 {
+			most = math.Max(most, v[0]/v[1])
+		}
+	}
+	return most
+}
+
+// part is what each class that has work may count on.
+func (p *parts) part() float64 {
+	n := len(p.use)
+	for class := range p.asked {
+		if _, has := p.use[class]; !has {
+			n++
+		}
+	}
+	return p.all / float64(max(1, n))
+}
+
+// waits notes that a request found too little room.
+func (a *Agent) waits(r *Request, now time.Time) {
+	if !a.hasPart(&r.Spec) {
+		return
+	}
+	if a.parts.asked == nil {
+		a.parts.asked = map[string]time.Time{}
+	}
+	a.parts.asked[r.Spec.Class] = now
+}
+
+// spared reports whether a task on m may not be stopped for the request: its class waits
+// with less than its part, and the request's has more than its own and does not miss the
+// users' longest aim for its wait by that.
+func (a *Agent) spared(t *task, r *Request, m *machine, now time.Time) bool {
+	if !r.Parts || !a.hasPart(t.spec) {
+		return false
+	}
+	if waits := a.settings.Waits(r.Spec.Class); len(waits) > 0 && waits[len(waits)-1]-r.Age <= r.clearing(a.types()[m.typeName]) {
+		return false
+	}
+	p := a.partsNow(now)
+	_, waits := p.asked[t.spec.Class]
+	part := p.part()
+	return waits && p.use[t.spec.Class] < part && p.use[r.Spec.Class] >= part
+}
--- /dev/null
+++ b/agent/parts_test.go
@@ -0,0 +1,82 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/config"
+	"robinstack/fakes"
+	"robinstack/job"
+)
+
+// A class that waits with less than its part is not stopped by one that has more than
+// its own, whatever their ranks: gangs that held more than half of a fleet went on
+// having arrays stopped that held a fifth of it and could not get on. It is where the
+// class does not wait, and by one that has less than its part as well.
+func TestWaitingClassWithLessThanItsPartIsNotStopped(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		set := settings()
+		set.Objectives = []config.Objective{{Kind: "wait", Class: "gangs", Within: 30 * time.Second}, {Kind: "wait", Class: "gangs", Within: 200 * time.Second}}
+		n := startWith(t, ctx, set, "host-0", state, workers)
+		epoch := slot(t, n, "s", 0)
+		request := func(class, shape, rank string, gpus float64, tasks int) agent.Request {
+			r := agent.Request{Slot: "s", Epoch: epoch, Tasks: tasks, Least: 9, Spare: 5, Parts: true}
+			r.Spec = job.Spec{ID: "wk-9", Class: class, Team: "t", Shape: shape, Rank: rank, Tasks: tasks, Need: job.Need{CPUs: 1, GPUs: gpus, MemoryGB: 1}, CheckpointS: 10, SaveS: 6}
+			return r
+		}
+		var boxes []*fakes.Worker
+		for k := range 4 { // three machines of a gang's class, one of an array's
+			w := workers.Add(fmt.Sprintf("m%d", k), "box", "a")
+			boxes = append(boxes, w)
+			n.report(workers, w)
+			time.Sleep(time.Second)
+			req := agent.CommitRequest{Request: request("gangs", job.Gang, "high", 2, 1), Machine: w.Report.Machine, Rev: n.entries()[w.Report.Machine].Rev,
+				Refs: []agent.TaskRef{{Job: fmt.Sprintf("wk-%d", k), Attempt: 1}}}
+			if k == 3 {
+				req.Request = request("arrays", job.Array, "normal", 2, 1)
+			}
+			req.Spec.ID = fmt.Sprintf("wk-%d", k)
+			var reply agent.CommitReply
+			if err := n.service.Commit(req, &reply); err != nil || reply.Verdicts[0] != agent.Started {
+				t.Fatal(reply, err)
+			}
+		}
+		clearable := func(class string) int {
+			t.Helper()
+			time.Sleep(time.Second)
+			var found agent.Sample
+			if err := n.service.Clearable(request(class, job.Gang, "high", 2, 1), &found); err != nil {
+				t.Fatal(err)
+			}
+			return len(found.Candidates)
+		}
+		if got := clearable("gangs"); got != 1 {
+			t.Errorf("nobody of the arrays waits: %d machines can be cleared", got)
+		}
+		var found agent.Sample
+		if err := n.service.Sample(request("arrays", job.Array, "normal", 2, 3), &found); err != nil || len(found.Candidates) != 0 {
+			t.Fatal(found, err)
+		}
+		if got := clearable("gangs"); got != 0 {
+			t.Errorf("they wait, with a fourth of the machines: %d can be cleared by a class that has the rest", got)
+		}
+		late := request("gangs", job.Gang, "high", 2, 1)
+		late.Age = 200 * time.Second
+		if err := n.service.Clearable(late, &found); err != nil || len(found.Candidates) != 1 {
+			t.Errorf("one that would miss the longest aim for its wait: %v, %v", found.Candidates, err)
+		}
+		if got := clearable("others"); got != 1 {
+			t.Errorf("a class that has nothing yet: %d can be cleared", got)
+		}
+		time.Sleep(5 * time.Second)
+		for _, w := range boxes {
+			n.report(workers, w)
+		}
+		if got := clearable("gangs"); got != 1 {
+			t.Errorf("they do not wait any more: %d can be cleared", got)
+		}
+	})
+}
--- a/agent/sample.go
+++ b/agent/sample.go
@@ -94,6 +94,9 @@
 		})
 	}
 	reply.Exhausted = len(found) < wanted
+	if reply.Exhausted && !room.enough() {
+		a.waits(&r, now)
+	}
 	reply.Candidates = best(found, &r)
 	a.counters.Samples++
 	a.counters.Drawn += uint64(reply.Drawn)
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -20,6 +20,7 @@
 	Left  time.Duration // until the job's tasks should have started by the users' aim; 0: at once
 	Near  bool          // only machines that have the image
 	Spare int           // candidates to return beyond those that the tasks need
+	Parts bool          // classes that wait with less than their part are not stopped
 }
 
 // Candidate is a machine that passed the filters, with its score.
--- a/placer/place.go
+++ b/placer/place.go
@@ -188,7 +188,7 @@
 		j.avoid = nil
 	}
 	req := agent.Request{Spec: *spec, Slot: j.slot, Epoch: s.epoch, Age: time.Since(j.submitted), Avoid: slices.Clone(j.avoid), Tasks: len(indices),
-		Share: p.policy.SampleMachines, Least: p.policy.SampleLeast, Spare: p.policy.MultiBind, Zones: openZones(spec, others, p.settings.Zones)}
+		Share: p.policy.SampleMachines, Least: p.policy.SampleLeast, Spare: p.policy.MultiBind, Parts: p.policy.ClassParts, Zones: openZones(spec, others, p.settings.Zones)}
 	p.mu.Unlock()
 
 	found := p.sample(ctx, req)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,6 +29,7 @@
 	IdleReturn        time.Duration // idle time after which a machine is returned
 	WarmGangs         int           // tasks of each class of gangs for which room is kept ready
 	Preempt           bool          // stop tasks of lower priority to make room for gangs
+	ClassParts        bool          // but not of a class that waits with less than its part
 
 	RolloutSoak   time.Duration // how long all controllers have to have stood before the level rises
 	RolloutAbsent time.Duration // how long one that is away is waited for
@@ -39,7 +40,7 @@
 
 // Default returns the policy that holds where operators set nothing.
 func Default() *Policy {
-	return &Policy{SampleControllers: 1, SampleMachines: 0.04, SampleLeast: 48, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 25 * time.Second, WarmGangs: 2, Preempt: true,
+	return &Policy{SampleControllers: 1, SampleMachines: 0.04, SampleLeast: 48, SampleTimeout: time.Second, MultiBind: 3, RetryAfter: time.Second, IdleReturn: 25 * time.Second, WarmGangs: 2, Preempt: true, ClassParts: true,
 		RolloutSoak: 30 * time.Second, RolloutAbsent: 10 * time.Minute}
 }
 
@@ -80,6 +81,7 @@
 
 // switches are the settings that are on or off.
 var switches = map[string]func(*Policy) *bool{
+	"class_parts":  func(p *Policy) *bool { return &p.ClassParts },
 	"preempt":      func(p *Policy) *bool { return &p.Preempt },
 	"rollout_hold": func(p *Policy) *bool { return &p.RolloutHold },
 }
