Roll-out: a move stopped at any moment is finished by the next steward

A story stops a move at every step, by the end of its steward and by another one that takes the role while the first goes on.

--- a/ended/ended.go
+++ b/ended/ended.go
@@ -72,7 +72,7 @@
 }
 
 func (r Record) formerOp(id string) statekv.Op {
-	return statekv.Op{Set: FormerKey(id), Value: former{r.Status, r.Tasks}}
+	return statekv.Op{Set: FormerKey(id), Value: former(r)}
 }
 
 func (r Record) op(id string) statekv.Op {
--- a/fakes/box.go
+++ b/fakes/box.go
@@ -66,8 +66,9 @@
 	hosts := slices.Sorted(maps.Keys(b.farm.controllers))
 	at := rand.IntN(len(hosts))
 	for b.ctx.Err() == nil {
-		home, pause := b.reportTo(client, b.farm.controllers[hosts[at]])
+		home := b.reportTo(client, b.farm.controllers[hosts[at]])
 		next := slices.Index(hosts, home)
+		var pause time.Duration
 		switch {
 		case home == "stay":
 			pause = time.Duration(float64(b.farm.report) * (0.75 + rand.Float64()/2))
@@ -87,27 +88,27 @@
 }
 
 // reportTo sends one report and returns where to go next: "stay", a host, or nothing.
-func (b *Box) reportTo(client *http.Client, address string) (home string, pause time.Duration) {
+func (b *Box) reportTo(client *http.Client, address string) (home string) {
 	sent := time.Now()
 	report := b.report()
 	raw, err := json.Marshal(report)
 	if err != nil {
-		return "", 0
+		return ""
 	}
 	resp, err := client.Post("http://"+address+"/v1/report", "application/json", bytes.NewReader(raw))
 	if err != nil {
-		return "", 0
+		return ""
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return "", 0
+		return ""
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		var a worker.Answer
 		if json.Unmarshal(body, &a) != nil {
-			return "", 0
+			return ""
 		}
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -115,15 +116,15 @@
 			b.token, b.answered = a.Token, sent
 			b.carryOut(a.Orders)
 		}
-		return "stay", 0
+		return "stay"
 	case http.StatusMisdirectedRequest:
 		var m struct {
 			Home string `json:"home"`
 		}
 		_ = json.Unmarshal(body, &m)
-		return m.Home, 0
+		return m.Home
 	}
-	return "", 0
+	return ""
 }
 
 func (b *Box) report() worker.Report {
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -27,7 +27,6 @@
 	reader  *Reader
 
 	mu      sync.Mutex
-	began   time.Time
 	seen    map[string]sighting
 	level   sighting
 	told    string // what a rise waited for, as last logged
@@ -45,7 +44,7 @@
 // while this controller has it, else 0.
 func NewGate(hosts []string, pol *policy.Policy, mirror *statekv.Mirror, member *statekv.Member, store statekv.Store, steward func() uint64) *Gate {
 	return &Gate{host: member.Host, hosts: hosts, policy: pol, mirror: mirror, member: member, store: store, steward: steward,
-		reader: NewReader(mirror), began: time.Now(), seen: map[string]sighting{}, refused: map[uint64]bool{}}
+		reader: NewReader(mirror), seen: map[string]sighting{}, refused: map[uint64]bool{}}
 }
 
 // every is how often the gate looks. A look reads a few keys of the mirror.
--- a/rollout/story_test.go
+++ b/rollout/story_test.go
@@ -446,3 +446,49 @@
 		}
 	})
 }
+
+// A move that is stopped at any moment, by the end of its steward or by another one that
+// takes the role while the first goes on, is finished by the next: every record is there
+// once, in both forms, as it was.
+func TestMoveStoppedAnywhere(t *testing.T) {
+	const jobs = 60
+	for stop := range 12 {
+		for _, ends := range []bool{true, false} {
+			story(t, func(f *fleet) {
+				for k := range jobs {
+					f.write(ended.Ops(fmt.Sprintf("wk-%03d", k), recordOf(k), ended.Former)...)
+				}
+				three := rollout.Level{Form: 1, N: 3, Features: rollout.FeaturesAt(3)}
+				f.write(statekv.Op{Set: statekv.LevelKey, Value: three}, statekv.Op{Set: statekv.MoveKey, Value: rollout.Move{Name: rollout.MoveCopy, Level: 3}})
+				if err := f.start("host-0", true); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Duration(stop) * 700 * time.Millisecond)
+				if ends {
+					f.end("host-0")
+				}
+				if err := f.start("host-1", true); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(30 * time.Second)
+				kv, err := f.state.Get(f.ctx, statekv.MoveKey)
+				var m rollout.Move
+				if err != nil || json.Unmarshal(kv.Value, &m) != nil || !m.Done || m.Looked != jobs {
+					t.Fatalf("stopped after %d: %s %v", stop, kv.Value, err)
+				}
+				for k := range jobs {
+					id := fmt.Sprintf("wk-%03d", k)
+					for _, key := range []string{ended.Key(id), ended.FormerKey(id)} {
+						kv, err := f.state.Get(f.ctx, key)
+						if err != nil {
+							t.Fatal(key, err)
+						}
+						if _, r, _, err := ended.Parse(key, kv.Value); err != nil || r != recordOf(k) {
+							t.Fatal(key, r, err)
+						}
+					}
+				}
+			})
+		}
+	}
+}
