Stand-in workers: an end is booked before it is reported

Cause: with 2,400 tasks on a busy machine users were told that a job is done before the stand-in had booked its last task as completed, which the check took for a broken rule.

--- a/dev/rolls.go
+++ b/dev/rolls.go
@@ -236,7 +236,7 @@
 		pause(2 * time.Second)
 		if (n+1)%5 == 0 || n+1 == of.Rolls {
 			l.mu.Lock()
-			fmt.Fprintf(out, "%d rolls in %v: %d jobs accepted, %d starts, broken: %d here, %d seen by workers\n", n+1, time.Since(began).Round(time.Second), len(l.jobs), f.Farm.Starts(), len(l.broken), len(f.Farm.Broken()))
+			fmt.Fprintf(out, "%d rolls in %v: %d jobs accepted, %d starts, broken: %d here, %d seen by workers %v\n", n+1, time.Since(began).Round(time.Second), len(l.jobs), f.Farm.Starts(), len(l.broken), len(f.Farm.Broken()), l.broken[:min(5, len(l.broken))])
 			l.mu.Unlock()
 		}
 	}
--- a/fakes/farm.go
+++ b/fakes/farm.go
@@ -257,8 +257,9 @@
 	}
 	r.box.farm.began(r)
 	finish := func(cause string) {
-		step("ended", cause)
+		// First: once it is reported, users may be told, and it may be started elsewhere.
 		r.box.farm.ended(r, cause == "done")
+		step("ended", cause)
 	}
 	gathered := time.After(20 * time.Second)
 	for r.spec.Shape == job.Gang && !r.box.farm.together(r) {
