--- a/dev/rolls.go
+++ b/dev/rolls.go
@@ -222,12 +222,12 @@
 		f.command("raise")
 		pause(12 * time.Second)
 		level := f.level()
-		if n%3 == 2 && level > 0 {
+		if n%3 == 2 && level > 0 && !closed(level) {
 			refusedAt = append(refusedAt, level)
 		} else {
 			loweredFrom = append(loweredFrom, level)
-			for deadline := time.Now().Add(30 * time.Second); f.level() > 0 && time.Now().Before(deadline) && ctx.Err() == nil; pause(300 * time.Millisecond) {
-				f.command("lower")
+			if err := f.lower(ctx); err != nil {
+				return err
 			}
 		}
 		if err := replace(of.Former); err != nil {
@@ -289,6 +289,31 @@
 	return out
 }
 
+// closed reports whether the way back from a level is closed: then the former version
+// must not be put back without lowering it.
+func closed(level int) bool {
+	for _, step := range rollout.Ladder[:level] {
+		if step.Closes {
+			return true
+		}
+	}
+	return false
+}
+
+// lower lowers the level to 0, however long it takes to bring stored values back.
+func (f *Fleet) lower(ctx context.Context) error {
+	for deadline := time.Now().Add(10 * time.Minute); f.level() > 0; time.Sleep(100 * time.Millisecond) {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("the level is still %d after ten minutes of lowering it", f.level())
+		}
+		f.command("lower")
+	}
+	return nil
+}
+
 // command gives a person's command to any controller that takes it.
 func (f *Fleet) command(verb string) {
 	for k := range f.opts.Controllers {
