Roll-out: what is told of unreadable values always fits into the move's key

Cause: twenty keys of up to 200 bytes with their reasons could exceed what a value may hold, and the move would have been refused for ever. Now eight, with reasons of 150 bytes: under 4 KiB, the smallest limit that settings allow.

--- a/rollout/move.go
+++ b/rollout/move.go
@@ -38,15 +38,21 @@
 	Listed []BadValue `json:"unreadable,omitempty"`
 }
 
-// mostBad bounds the unreadable values that are listed by key.
-const mostBad = 20
+// mostBad bounds the unreadable values that are listed by key, and mostWhy the bytes of
+// each reason: with keys of 200 bytes, the longest there are, all of it must fit the
+// smallest limit of a value, or the move could never go on.
+const (
+	mostBad = 8
+	mostWhy = 150
+)
 
 // unreadable notes a value that is left as it is.
 func (m *Move) unreadable(key string, err error) {
 	slog.Error("a value cannot be read; it is left as it is", "key", key, "err", err)
 	m.Bad++
 	if len(m.Listed) < mostBad {
-		m.Listed = append(slices.Clone(m.Listed), BadValue{key, err.Error()})
+		why := strings.ToValidUTF8(err.Error()[:min(len(err.Error()), mostWhy)], "")
+		m.Listed = append(slices.Clone(m.Listed), BadValue{key, why})
 	}
 }
 
--- a/rollout/story_test.go
+++ b/rollout/story_test.go
@@ -492,3 +492,29 @@
 		}
 	}
 }
+
+// However many values cannot be read, and however long their keys are, what is told of
+// them fits into the move's key, so that the move goes on to its end.
+func TestManyUnreadableValuesDoNotStopAMove(t *testing.T) {
+	story(t, func(f *fleet) {
+		const bad = 40
+		for k := range bad {
+			key := ended.FormerPrefix + fmt.Sprintf("%03d", k)
+			f.write(statekv.Op{Set: key + strings.Repeat("x", 200-len(key)), Value: "mangled"})
+		}
+		f.write(ended.Ops("wk-1", recordOf(1), ended.Former)...)
+		f.write(statekv.Op{Set: statekv.LevelKey, Value: rollout.Level{Form: 1, N: 3, Features: rollout.FeaturesAt(3)}}, statekv.Op{Set: statekv.MoveKey, Value: rollout.Move{Name: rollout.MoveCopy, Level: 3}})
+		if err := f.start("host-0", true); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		kv, err := f.state.Get(f.ctx, statekv.MoveKey)
+		var m rollout.Move
+		if err != nil || json.Unmarshal(kv.Value, &m) != nil || !m.Done || m.Bad != bad || len(kv.Value) > 4096 {
+			t.Errorf("%d bytes: %s %v", len(kv.Value), kv.Value, err)
+		}
+		if _, err := f.state.Get(f.ctx, ended.Key("wk-1")); err != nil {
+			t.Error(err)
+		}
+	})
+}
