--- /dev/null
+++ b/agent/learn_test.go
@@ -0,0 +1,50 @@
+package agent_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"robinstack/fakes"
+	"robinstack/job"
+	"robinstack/statekv"
+	"robinstack/worker"
+)
+
+// A record that cannot be read kept an agent from reading all others, again and again,
+// so that the tasks of every job that it had taken over stayed unknown to it. It is
+// listed and left, and its task goes on.
+func TestUnreadableRecordDoesNotKeepOthersFromBeingRead(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		good := job.Record{Slot: "s", Spec: job.Spec{ID: "wk-2", Team: "t", Shape: job.Array, Rank: "normal", Tasks: 1, Need: job.Need{CPUs: 1, GPUs: 1, MemoryGB: 1}}}
+		for key, v := range map[string]any{job.OpenKey("wk-1"): "mangled", job.OpenKey("wk-2"): good} {
+			if _, err := state.Txn(ctx, nil, []statekv.Op{{Set: key, Value: v}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		n := start(t, ctx, "host-0", state, workers)
+		w := workers.Add("m1", "box", "a")
+		workers.Do(func() {
+			for _, id := range []string{"wk-1/0", "wk-2/0"} {
+				w.Report.Tasks = append(w.Report.Tasks, worker.Task{ID: id, Attempt: 1, State: worker.Running})
+			}
+		})
+		for range 5 {
+			n.report(workers, w)
+			time.Sleep(time.Second)
+		}
+		known := map[string]bool{}
+		for _, task := range n.entries()["m1"].Tasks {
+			known[task.Job] = task.Known
+		}
+		if len(known) != 2 || known["wk-1"] || !known["wk-2"] {
+			t.Errorf("known: %v", known)
+		}
+		if held(workers, w) != 2 {
+			t.Errorf("%d tasks are on the machine", held(workers, w))
+		}
+		if bad := n.mirror.Bad(); bad[job.OpenKey("wk-1")] == "" {
+			t.Errorf("listed: %v", bad)
+		}
+	})
+}
