Job records: unknown fields are gathered only by those who rewrite them

Cause: reading a record had come to take four passes over it, also for every question about a job that another controller looks after, which only needs its slot. Now one, and the form is a field of the record; a placer that takes a job up gathers the rest. No behaviour is meant to change.

--- a/job/job_test.go
+++ b/job/job_test.go
@@ -98,6 +98,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		rec.Keep([]byte(raw))
 		rec.Done = "Bw"
 		out, err := json.Marshal(rec)
 		if err != nil {
--- a/job/record.go
+++ b/job/record.go
@@ -23,6 +23,7 @@
 // Record is an unfinished job in the state service. Done holds the finished
 // tasks of the first chunk; the other chunks have keys of their own.
 type Record struct {
+	Form      int    `json:"form,omitempty"`
 	Spec      Spec   `json:"spec"`
 	Slot      string `json:"slot"`
 	Submitted int64  `json:"submitted_ms"`
@@ -31,7 +32,7 @@
 	// Failed is what is known of a job of which nothing has succeeded yet.
 	Failed *Failures `json:"failed,omitempty"`
 
-	// What a later version wrote, beside these and in the spec; it is kept.
+	// What a later version wrote, beside these and in the spec: see Keep.
 	Rest     statekv.Rest `json:"-"`
 	SpecRest statekv.Rest `json:"-"`
 }
@@ -126,22 +127,28 @@
 	return nil
 }
 
-// ParseRecord reads a record as the state service returned it.
-func ParseRecord(raw json.RawMessage) (*Record, error) {
-	if err := statekv.CheckForm("a job's record", raw, RecordForm); err != nil {
-		return nil, err
-	}
-	var r Record
-	if err := json.Unmarshal(raw, &r); err != nil {
-		return nil, fmt.Errorf("decoding job record: %w", err)
-	}
+// Keep has the record keep what a later version wrote in raw, as which it was read: for
+// those who will rewrite it. Questions, which only read it, come hundreds of times a
+// second.
+func (r *Record) Keep(raw json.RawMessage) {
 	var parts struct {
 		Spec json.RawMessage `json:"spec"`
 	}
-	if err := json.Unmarshal(raw, &parts); err != nil {
+	if json.Unmarshal(raw, &parts) == nil {
+		r.Rest, r.SpecRest = statekv.RestOf(raw, r), statekv.RestOf(parts.Spec, &r.Spec)
+	}
+}
+
+// ParseRecord reads a record as the state service returned it.
+func ParseRecord(raw json.RawMessage) (*Record, error) {
+	var r Record
+	err := json.Unmarshal(raw, &r)
+	if err != nil || r.Form > RecordForm {
+		if later := statekv.CheckForm("a job's record", raw, RecordForm); later != nil {
+			return nil, later
+		}
 		return nil, fmt.Errorf("decoding job record: %w", err)
 	}
-	r.Rest, r.SpecRest = statekv.RestOf(raw, &r), statekv.RestOf(parts.Spec, &r.Spec)
 	if !ValidID(r.Spec.ID) || r.Spec.Tasks < 1 || r.Spec.Tasks > MaxTasks {
 		return nil, fmt.Errorf("job record of %q is damaged", r.Spec.ID)
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -321,6 +321,7 @@
 	}
 	p.mu.Unlock()
 	if s != nil && e.Rev > s.epoch && rec.Done == "" {
+		rec.Keep(e.Value)
 		p.Accepted(rec, e.Rev)
 	}
 }
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -219,6 +219,7 @@
 		if slots[rec.Slot] == nil {
 			continue
 		}
+		rec.Keep(kv.Value)
 		if err := p.load(ctx, rec, kv.Rev, false); err != nil {
 			return err
 		}
