--- a/agent/parts.go
+++ b/agent/parts.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"math"
 	"time"
 
 	"robinstack/job"
@@ -58,7 +57,7 @@
 		p.all++
 		for _, t2 := range m.tasks {
 			if t2.uses() && t2.spec != nil && !t2.stop && a.hasPart(t2.spec) {
-				p.use[t2.spec.Class] += share(t2.spec.Need, job.Capacity(t))
+				p.use[t2.spec.Class] += t2.spec.Share(job.Capacity(t))
 			}
 		}
 	}
@@ -70,17 +69,6 @@
 	return p
 }
 
-// share is the part of a machine that a task takes.
-func share(need, capacity job.Need) float64 {
-	most := 0.0
-	for _, v := range [][2]float64{{need.CPUs, capacity.CPUs}, {need.GPUs, capacity.GPUs}, {need.MemoryGB, capacity.MemoryGB}} {
-		if v[1] > 0 {
-			most = math.Max(most, v[0]/v[1])
-		}
-	}
-	return most
-}
-
 // part is what each class that has work may count on.
 func (p *parts) part() float64 {
 	n := len(p.use)
--- a/job/job.go
+++ b/job/job.go
@@ -53,6 +53,17 @@
 	return Need{n.CPUs + k*o.CPUs, n.GPUs + k*o.GPUs, n.MemoryGB + k*o.MemoryGB}
 }
 
+// Share is the part of a machine's capacity that need takes: the largest of its amounts.
+func (n Need) Share(capacity Need) float64 {
+	most := 0.0
+	for _, p := range [][2]float64{{n.CPUs, capacity.CPUs}, {n.GPUs, capacity.GPUs}, {n.MemoryGB, capacity.MemoryGB}} {
+		if p[1] > 0 {
+			most = max(most, p[0]/p[1])
+		}
+	}
+	return most
+}
+
 // Count is how many times need fits into room.
 func (n Need) Count(room Need) int {
 	k := math.Inf(1)
