dev: ports are free once it has stopped

Cause: a stand-in's server that was closed before it had begun to serve left its listener open for a moment, which a test met in a fresh clone. The listeners are closed too; the test passes thirty times in a row.

--- a/dev/dev.go
+++ b/dev/dev.go
@@ -43,7 +43,7 @@
 	opts    Options
 	dir     string
 	logs    string
-	servers []*http.Server
+	servers []io.Closer // and their listeners
 	stop    chan struct{}
 
 	mu   sync.Mutex
@@ -129,7 +129,9 @@
 			return fmt.Errorf("a port for the %s: %w", [...]string{"state service", "cloud"}[k], err)
 		}
 		server := &http.Server{Handler: handler}
-		f.servers = append(f.servers, server)
+		// The listener too: a server that is closed before it has begun to serve closes
+		// it only later, and the port would be taken still.
+		f.servers = append(f.servers, server, ln)
 		go func() { _ = server.Serve(ln) }()
 	}
 	go f.State.Watch(f.stop)
