Config: the lower of the state service's limits in force and to come

Need: facts.state.next announces limits that come without notice; a writer that breaks them then gets 400 or 429. Config refused fewer than 10 changes a transaction and values below 4 KiB, which would have ended the process.

--- a/config/config.go
+++ b/config/config.go
@@ -47,7 +47,9 @@
 	CancelGone time.Duration
 }
 
-// State holds the limits of the state service.
+// State holds the limits of the state service that hold at any time: of those that
+// are in force and those that the platform has announced (facts.state.next), which come
+// without notice, the lower of each.
 type State struct {
 	RPS        float64
 	WriteRPS   float64
@@ -110,10 +112,8 @@
 			CancelS   float64 `json:"cancel_s"`
 		} `json:"workers"`
 		State struct {
-			RPS      float64 `json:"rps"`
-			WriteRPS float64 `json:"write_rps"`
-			ValueKB  float64 `json:"value_kb"`
-			TxnOps   int     `json:"txn_ops"`
+			wireLimits
+			Next wireLimits `json:"next"`
 		} `json:"state"`
 		Cloud struct {
 			RPS      float64 `json:"rps"`
@@ -128,6 +128,37 @@
 	} `json:"facts"`
 }
 
+// wireLimits are limits of the state service; of those to come, one that is absent or 0
+// stays as it is.
+type wireLimits struct {
+	RPS      float64 `json:"rps"`
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+}
+
+// lower returns the lower of each limit.
+func (l wireLimits) lower(next wireLimits) State {
+	return State{RPS: least(l.RPS, next.RPS), WriteRPS: least(l.WriteRPS, next.WriteRPS),
+		ValueBytes: int(least(l.ValueKB, next.ValueKB) * 1024), TxnOps: least(l.TxnOps, next.TxnOps)}
+}
+
+func least[T int | float64](now, next T) T {
+	if next == 0 {
+		return now
+	}
+	return min(now, next)
+}
+
+// What the service needs of the state service at least. A chunk of a job's finished
+// tasks takes 1.4 KiB; an end of a job three changes; and a change of the level has a
+// condition for each controller and six more, of which four go with each change.
+const (
+	LeastValueBytes = 2048
+	LeastTxnOps     = 6
+	levelConds      = 6
+)
+
 // Seconds turns an amount of seconds from the wire into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
@@ -160,7 +191,7 @@
 			GangWait: Seconds(f.Workers.GangWaitS), GangPeer: Seconds(f.Workers.GangPeerS),
 			CancelGone: Seconds(f.Workers.CancelS),
 		},
-		State:    State{RPS: f.State.RPS, WriteRPS: f.State.WriteRPS, ValueBytes: int(f.State.ValueKB * 1024), TxnOps: f.State.TxnOps},
+		State:    f.State.lower(f.State.Next),
 		CloudRPS: f.Cloud.RPS, CloudListLag: Seconds(f.Cloud.ListLagS),
 		MemoryBytes: int64(f.Quota.MemoryMB * (1 << 20)), MaxConnections: f.Quota.MaxConnections,
 		ClockOff: time.Duration(f.ClockOffMS * float64(time.Millisecond)),
@@ -202,10 +233,11 @@
 	need(s.Workers.Lease > s.Workers.Report, "facts.workers.lease_s", "must be above report_s")
 	need(s.Workers.CancelGone > s.Workers.Lease, "facts.workers.cancel_s", "must be above lease_s")
 	need(s.Workers.GangWait > 0, "facts.workers.gang_wait_s", "must be above 0")
-	need(s.State.RPS > 0, "facts.state.rps", "must be above 0")
-	need(s.State.WriteRPS > 0, "facts.state.write_rps", "must be above 0")
-	need(s.State.ValueBytes >= 4096, "facts.state.value_kb", "must be at least 4")
-	need(s.State.TxnOps >= 10, "facts.state.txn_ops", "must be at least 10")
+	need(s.State.RPS > 0, "facts.state.rps", "must be above 0, and next.rps not below")
+	need(s.State.WriteRPS > 0, "facts.state.write_rps", "must be above 0, and next.write_rps not below")
+	need(s.State.ValueBytes >= LeastValueBytes, "facts.state.value_kb", "must be at least 2, and next.value_kb as well")
+	ops := max(LeastTxnOps, (len(w.Peers)+1+levelConds+3)/4)
+	need(s.State.TxnOps >= ops, "facts.state.txn_ops", fmt.Sprintf("must be at least %d with so many controllers, and next.txn_ops as well", ops))
 	need(s.CloudRPS > 0, "facts.cloud.rps", "must be above 0")
 	if s.Controllers == 0 {
 		s.Controllers = len(s.Peers) + 1
