Ended: a final record tells when the job was found to be done

Need: what waits for a job counts its times from that job's end, and the moment has to survive a change of placer.

Change: a fourth entry of the compact form and a field of the former one. The version in production reads both and skips it: its list may be longer than three, and unknown fields are ignored.

--- a/ended/ended.go
+++ b/ended/ended.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"robinstack/job"
 	"robinstack/statekv"
@@ -34,12 +35,26 @@
 type Record struct {
 	Status string // job.Done or job.Cancelled
 	Tasks  int
+
+	// AtMS is when the job was found to be done, in milliseconds since 1970 by the
+	// clock of the controller that recorded it: what waited for it counts its times from
+	// then. 0: not known; an earlier version recorded it, or it was cancelled.
+	AtMS int64
+}
+
+// At is when the job was found to be done, or the zero time.
+func (r Record) At() time.Time {
+	if r.AtMS == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(r.AtMS)
 }
 
 // former is a record under FormerPrefix.
 type former struct {
 	Status string `json:"status"`
 	Tasks  int    `json:"tasks"`
+	AtMS   int64  `json:"ended_ms,omitempty"`
 }
 
 // Letters of the compact form.
@@ -76,7 +91,11 @@
 }
 
 func (r Record) op(id string) statekv.Op {
-	return statekv.Op{Set: Key(id), Value: [3]any{Form, letters[r.Status], r.Tasks}}
+	list := []any{Form, letters[r.Status], r.Tasks}
+	if r.AtMS != 0 {
+		list = append(list, r.AtMS) // readers of this form never minded more entries
+	}
+	return statekv.Op{Set: Key(id), Value: list}
 }
 
 // Absent are the conditions that a job is not over.
@@ -124,6 +143,9 @@
 	if len(list) < 3 || json.Unmarshal(list[1], &letter) != nil || json.Unmarshal(list[2], &r.Tasks) != nil {
 		return r, errors.New("is not form, status and tasks")
 	}
+	if len(list) > 3 && json.Unmarshal(list[3], &r.AtMS) != nil {
+		return r, errors.New("its time is no number")
+	}
 	for status, l := range letters {
 		if l == letter {
 			r.Status = status
