Job: records may name jobs that they wait for, and be kept in pieces

Need: hundreds of names do not fit one value of 2 KiB.

Mirror.First gets changes before their revision counts as seen, so that who waits for it finds them taken note of.

--- a/job/job.go
+++ b/job/job.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -103,6 +104,9 @@
 	CheckpointS float64  `json:"snapshot_every_s"`
 	SaveS       float64  `json:"snapshot_s"`
 	DeadlineS   *float64 `json:"due_s"`
+
+	// WaitsOn names the jobs that have to be done before any task of this one starts.
+	WaitsOn []string `json:"waits_on,omitempty"`
 }
 
 // Save is the time a task needs to save when it is stopped.
@@ -125,6 +129,14 @@
 // Priority orders the ranks; higher goes first.
 func (s *Spec) Priority() int { return ranks[s.Rank] }
 
+// RankOf orders ranks as Priority does; what is none comes last.
+func RankOf(rank string) int {
+	if n, ok := ranks[rank]; ok {
+		return n
+	}
+	return -1
+}
+
 var ranks = map[string]int{"production": 3, "high": 2, "normal": 1, "best_effort": 0}
 
 var idForm = regexp.MustCompile(`^wk-[0-9]{1,18}$`)
@@ -154,9 +166,24 @@
 		}
 		return nil, fmt.Errorf("malformed: %w", err)
 	}
+	s.WaitsOn = once(s.WaitsOn)
 	return &s, s.check()
 }
 
+// once returns the names without those that are given again, in the order given.
+func once(names []string) []string {
+	seen := make(map[string]bool, len(names))
+	return slices.DeleteFunc(names, func(name string) bool {
+		again := seen[name]
+		seen[name] = true
+		return again
+	})
+}
+
+// MostWaitsOn bounds the jobs that one may wait for: with the longest ids they take
+// half of the largest submission.
+const MostWaitsOn = 1000
+
 func (s *Spec) check() error {
 	_, knownRank := ranks[s.Rank]
 	const most = 1e9 // any larger amount is a mistake
@@ -187,6 +214,8 @@
 		return fmt.Errorf("pieces: must be 1 to %d", MaxTasks)
 	case len(s.Types) > 50:
 		return errors.New("host_kinds: has more than 50 entries")
+	case len(s.WaitsOn) > MostWaitsOn:
+		return fmt.Errorf("waits_on: has more than %d entries", MostWaitsOn)
 	case s.Zone != nil && (*s.Zone == "" || len(*s.Zone) > 100):
 		return errors.New("site: must have 1 to 100 bytes")
 	}
@@ -195,6 +224,11 @@
 			return errors.New("host_kinds: has an entry without a name or with an overlong one")
 		}
 	}
+	for _, id := range s.WaitsOn {
+		if !ValidID(id) {
+			return fmt.Errorf("waits_on: %.40q is no job id", id)
+		}
+	}
 	return nil
 }
 
@@ -218,6 +252,9 @@
 
 // NeverRuns says why the job can never run, or nothing.
 func (s *Spec) NeverRuns(types map[string]cloud.MachineType, teams map[string]config.Team) string {
+	if slices.Contains(s.WaitsOn, s.ID) {
+		return "waits_on: the job waits for itself"
+	}
 	team, ok := teams[s.Team]
 	if !ok {
 		return fmt.Sprintf("owner: no team %.40q", s.Team)
--- a/job/record.go
+++ b/job/record.go
@@ -32,6 +32,10 @@
 	// Failed is what is known of a job of which nothing has succeeded yet.
 	Failed *Failures `json:"failed,omitempty"`
 
+	// Pieces is in how many keys the spec is kept; see Split. Until it is joined, Spec
+	// has only the id and the number of tasks.
+	Pieces int `json:"spec_pieces,omitempty"`
+
 	// What a later version wrote, beside these and in the spec: see Keep.
 	Rest     statekv.Rest `json:"-"`
 	SpecRest statekv.Rest `json:"-"`
@@ -51,6 +55,9 @@
 // MarshalJSON writes the record with what a later version wrote.
 func (r Record) MarshalJSON() ([]byte, error) {
 	type plain Record
+	if r.Pieces > 0 {
+		r.Spec, r.SpecRest = r.Spec.stub(), nil
+	}
 	if r.SpecRest == nil && r.Rest == nil {
 		return json.Marshal(struct{ *plain }{(*plain)(&r)})
 	}
@@ -134,8 +141,12 @@
 	var parts struct {
 		Spec json.RawMessage `json:"spec"`
 	}
-	if json.Unmarshal(raw, &parts) == nil {
-		r.Rest, r.SpecRest = statekv.RestOf(raw, r), statekv.RestOf(parts.Spec, &r.Spec)
+	if json.Unmarshal(raw, &parts) != nil {
+		return
+	}
+	r.Rest = statekv.RestOf(raw, r)
+	if r.Pieces == 0 { // else Join has seen to it
+		r.SpecRest = statekv.RestOf(parts.Spec, &r.Spec)
 	}
 }
 
--- a/statekv/mirror.go
+++ b/statekv/mirror.go
@@ -28,6 +28,11 @@
 	// read. Set it before Load.
 	Parse func(key string, value json.RawMessage) any
 
+	// First gets every change, and nil when all was read anew, before the revision counts
+	// as seen: who waits for that finds it taken note of. It must do no I/O. Set it
+	// before Load.
+	First func([]Event)
+
 	badMu sync.Mutex
 	bad   map[string]string // why a key's value cannot be read
 
@@ -128,8 +133,14 @@
 		}
 	}
 	m.mu.Lock()
+	m.dirs = dirs
+	m.mu.Unlock()
+	if m.First != nil {
+		m.First(nil)
+	}
+	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.dirs, m.rev, m.fresh, m.loaded = dirs, rev, sent, true
+	m.rev, m.fresh, m.loaded = rev, sent, true
 	close(m.moved)
 	m.moved = make(chan struct{})
 	return nil
@@ -169,9 +180,24 @@
 }
 
 func (m *Mirror) apply(news News, sent time.Time) {
+	m.applyEvents(news.Events)
+	if m.First != nil && len(news.Events) > 0 {
+		m.First(news.Events)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fresh = sent
+	if news.Rev > m.rev {
+		m.rev = news.Rev
+		close(m.moved)
+		m.moved = make(chan struct{})
+	}
+}
+
+func (m *Mirror) applyEvents(events []Event) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, e := range news.Events {
+	for _, e := range events {
 		key := e.Key()
 		if !m.keeps(key) || m.dirs[dirOf(key)][key].Rev >= e.Rev {
 			continue
@@ -180,15 +206,12 @@
 		if e.Set != "" {
 			m.put(m.dirs, KV{Key: key, Value: e.Value, Rev: e.Rev})
 		} else {
-			delete(m.dirs[dirOf(key)], key)
+			dir := dirOf(key)
+			if delete(m.dirs[dir], key); len(m.dirs[dir]) == 0 {
+				delete(m.dirs, dir)
+			}
 		}
 	}
-	m.fresh = sent
-	if news.Rev > m.rev {
-		m.rev = news.Rev
-		close(m.moved)
-		m.moved = make(chan struct{})
-	}
 }
 
 func (m *Mirror) keeps(key string) bool {
