Roll-out: a level is a set of features, and pipelines come on at once

Users send the first pipeline within seconds of the last replacement.

Change: a level's features are a set in the order in which they came on. Pipelines need gated alone, wait for no move and no person, and come on when all controllers have stood for 3 s; gated itself too, which it needs. A move under way goes on beside them. Lowering takes the last feature off, or the one named; pipelines go off in two steps, and not while unfinished jobs need them. Production refuses a level with a feature that it does not know, as before.

--- a/cmd/robinstack/rollout.go
+++ b/cmd/robinstack/rollout.go
@@ -33,16 +33,19 @@
 	for verb, short := range map[string]string{
 		rollout.HoldVerb:  "Keep the level as it is until raise is given",
 		rollout.RaiseVerb: "Let the level rise again, also to one that closes the way back",
-		rollout.LowerVerb: "Go back to the level below, and stay there until raise is given",
+		rollout.LowerVerb: "Take the feature off that came on last, or the one named, and stay there until raise is given",
 	} {
-		var why string
+		var why, feature string
 		c := &cobra.Command{
 			Use: verb + " ADDRESS", Short: short, Args: cobra.ExactArgs(1),
 			RunE: func(cmd *cobra.Command, args []string) error {
-				return rolloutCall(cmd, http.MethodPost, "http://"+args[0]+"/rollout/"+verb+"?"+url.Values{"why": {why}}.Encode(), false)
+				return rolloutCall(cmd, http.MethodPost, "http://"+args[0]+"/rollout/"+verb+"?"+url.Values{"why": {why}, "feature": {feature}}.Encode(), false)
 			},
 		}
 		c.Flags().StringVar(&why, "why", "", "the reason, for those who look at the status later")
+		if verb == rollout.LowerVerb {
+			c.Flags().StringVar(&feature, "feature", "", "the feature to take off")
+		}
 		root.AddCommand(c)
 	}
 	return root
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -28,7 +28,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Context(), 4*time.Second)
 	defer cancel()
-	err := l.Gate.Do(ctx, c.Params("verb"), c.Query("why"))
+	err := l.Gate.Do(ctx, c.Params("verb"), rollout.Feature(c.Query("feature")), c.Query("why"))
 	var stuck *rollout.Stuck
 	switch {
 	case errors.As(err, &stuck):
--- a/rollout/against.go
+++ b/rollout/against.go
@@ -58,7 +58,8 @@
 	{job.OpenPrefix, RecordKind, func(_ string, v json.RawMessage) error { _, err := job.ParseRecord(v); return err }},
 	{ended.FormerPrefix, "ended, former", endedJob},
 	{ended.Prefix, EndedKind, endedJob},
-	{"robin/part/", "part", func(_ string, v json.RawMessage) error { var chunk string; return json.Unmarshal(v, &chunk) }},
+	{job.PiecePrefix, "piece", func(_ string, v json.RawMessage) error { var piece string; return json.Unmarshal(v, &piece) }},
+	{job.PartPrefix, "part", func(_ string, v json.RawMessage) error { var chunk string; return json.Unmarshal(v, &chunk) }},
 }
 
 // Reading is what a build makes of what is stored.
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"robinstack/statekv"
@@ -37,6 +38,9 @@
 	Soak   time.Duration // how long all have to have stood
 	Absent time.Duration // how long one in the settings that is away is waited for
 	Held   bool          // by this controller's policy
+
+	// Uses lists what is stored and needs a feature; nil: nobody has looked.
+	Uses func(Feature) []string
 }
 
 // Keys are the keys of the state service as last seen; *statekv.Mirror has them.
@@ -61,7 +65,7 @@
 	if kv, ok := keys.Get(statekv.MoveKey); ok {
 		v.MoveRev = kv.Rev
 		if err := json.Unmarshal(kv.Value, &v.Move); err != nil {
-			v.Move = Move{Name: "unreadable"}
+			v.Move = Move{Name: unreadable}
 		}
 	}
 	nodes := map[string]Node{}
@@ -106,7 +110,9 @@
 	}
 	c.Then = []statekv.Op{{Set: statekv.LevelKey, Value: to.value()}}
 	switch {
+	case move.Name == unreadable: // whoever wrote it can read it
 	case move.Name != "":
+		move.Level = to.N
 		c.Then = append(c.Then, statekv.Op{Set: statekv.MoveKey, Value: move})
 	case v.MoveRev != 0:
 		c.Then = append(c.Then, statekv.Op{Delete: statekv.MoveKey})
@@ -114,52 +120,118 @@
 	return c
 }
 
+// moveBeside is the move to go on with when a step is made or taken back: its own, else
+// that which is under way, if the step stands beside what it belongs to.
+func (v *View) moveBeside(step *Step, own string) Move {
+	if own == "" && !v.chained(step) {
+		return v.Move
+	}
+	return Move{Name: own}
+}
+
+// chained reports whether a step is among those of which each needs the one before.
+func (v *View) chained(step *Step) bool {
+	return slices.IndexFunc(Ladder, func(s Step) bool { return s.Needs == step.Adds }) >= 0 || step.Closes
+}
+
+// next lists the steps that may be made from here, those first that users wait for.
+func (v *View) next() []*Step {
+	var out []*Step
+	for k := range Ladder {
+		if s := &Ladder[k]; !v.Level.Has(s.Adds) && (s.Needs == "" || v.Level.Has(s.Needs)) {
+			out = append(out, s)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *Step) int {
+		switch {
+		case a.Prompt == b.Prompt:
+			return 0
+		case a.Prompt:
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
 // Rise returns the change to the next level if it may be made now, or why not; both
 // are empty at the top.
 func (v *View) Rise() (*Change, string) {
 	if why := v.stuck(); why != "" {
 		return nil, why
 	}
-	n := v.Level.N
-	if n >= Top() {
-		return nil, ""
+	if v.Level.Ends != "" {
+		return v.end()
 	}
-	next := v.Level.at(n + 1)
-	step := Ladder[n]
-	switch {
+	var whys []string
+	for _, step := range v.next() {
+		why := v.waits(step)
+		if why == "" {
+			to := v.Level.with(step.Adds)
+			if to.Allow > v.Level.N && !step.Closes {
+				to.Allow++ // it was for the step that closes, whose number grows by this one
+			}
+			c := v.change(to, v.moveBeside(step, step.Move))
+			return &c, ""
+		}
+		if !slices.Contains(whys, why) {
+			whys = append(whys, why)
+		}
+	}
+	return nil, strings.Join(whys, "; ")
+}
+
+// promptSoak is how long all controllers have to have stood before a feature comes on
+// that users wait for: long enough for one that ends itself as it starts.
+const promptSoak = 3 * time.Second
+
+// waits says what a step waits for, or "".
+func (v *View) waits(step *Step) string {
+	n := v.Level.N
+	switch need := stepOf(step.Needs); {
 	case v.Level.Hold != "":
-		return nil, "held: " + v.Level.Hold
+		return "held: " + v.Level.Hold
 	case v.Held:
-		return nil, "held by the policy (rollout_hold)"
+		return "held by the policy (rollout_hold)"
 	case step.Closes && v.Level.Allow <= n:
-		return nil, fmt.Sprintf("level %d closes the way back: it waits for a person (robinstack rollout raise)", n+1)
-	case n > 0 && Ladder[n-1].Move != "" && !(v.Move.Name != "" && v.Move.Done):
-		return nil, "stored values are being moved: " + v.Move.String()
+		return fmt.Sprintf("level %d closes the way back: it waits for a person (robinstack rollout raise)", n+1)
+	case need != nil && need.Move != "" && !(v.Move.Name != "" && v.Move.Done):
+		return "stored values are being moved: " + v.Move.String()
 	}
-	if why := v.lacking(next); why != "" {
-		return nil, why
+	if why := v.lacking(v.Level.with(step.Adds)); why != "" {
+		return why
+	}
+	soak, stood := v.Soak, v.Stood
+	if step.Prompt {
+		soak = min(soak, promptSoak)
+		stood = soak // that others came on a moment ago is no reason to wait
 	}
 	for _, node := range v.Nodes {
 		switch {
-		case node.Lives && node.For < v.Soak:
-			return nil, fmt.Sprintf("%s has stood for %v of %v", node.Host, node.For.Round(time.Second), v.Soak)
+		case node.Lives && node.For < soak:
+			return fmt.Sprintf("%s has stood for %v of %v", node.Host, node.For.Round(time.Second), soak)
 		case !node.Lives && node.For < v.Absent:
-			return nil, fmt.Sprintf("%s is away since %v and waited for until %v", node.Host, node.For.Round(time.Second), v.Absent)
+			return fmt.Sprintf("%s is away since %v and waited for until %v", node.Host, node.For.Round(time.Second), v.Absent)
 		}
 	}
 	switch {
-	case v.Stood < v.Soak:
-		return nil, fmt.Sprintf("level %d has stood for %v of %v", n, v.Stood.Round(time.Second), v.Soak)
+	case stood < soak:
+		return fmt.Sprintf("level %d has stood for %v of %v", n, v.Stood.Round(time.Second), soak)
 	case v.Steward == 0:
-		return nil, "the steward raises it"
+		return "the steward raises it"
 	}
-	c := v.change(next, Move{Name: step.Move, Level: n + 1})
-	return &c, ""
+	return ""
 }
 
-// Lower returns the change to the level below, for a person who asked for it, or why it
-// cannot be made. It holds the fleet there.
-func (v *View) Lower(why string) (*Change, string) {
+// Lower returns the change that takes a feature off, or the one that came on last if
+// none is named, for a person who asked for it, or why it cannot be made. It holds the
+// fleet there.
+//
+// A feature that stored values may need goes off in two steps: first nothing that needs
+// it is taken any more; then, when all that was taken before has been seen, end takes it
+// off. With one step, what is taken at the same moment would be left to controllers that
+// ignore what it needs.
+func (v *View) Lower(f Feature, why string) (*Change, string) {
 	if stuck := v.stuck(); stuck != "" {
 		return nil, stuck
 	}
@@ -167,21 +239,79 @@
 	if n == 0 {
 		return nil, "the fleet is at level 0"
 	}
-	next := v.Level.at(n - 1)
+	if f == "" {
+		f = v.Level.Features[n-1]
+	}
+	step := stepOf(f)
+	if !v.Level.Has(f) {
+		return nil, fmt.Sprintf("feature %q is not on", f)
+	}
+	for _, s := range Ladder {
+		if s.Needs == f && v.Level.Has(s.Adds) {
+			return nil, fmt.Sprintf("feature %q needs %q", s.Adds, f)
+		}
+	}
+	next := v.Level.without(f)
 	next.Hold, next.Allow = why, 0
 	if stuck := v.lacking(next); stuck != "" {
 		return nil, stuck
 	}
 	// What the level below writes must be all that it reads: values that only the level
 	// above wrote are brought back while this one stands, which still reads both.
-	if back := Ladder[n-1].Back; back != "" && v.Move.Name == back && !v.Move.Done {
+	if back := step.Back; back != "" && v.Move.Name == back && !v.Move.Done {
 		return nil, "stored values are being brought back: " + v.Move.String()
 	}
-	var move Move
-	if n > 1 && Ladder[n-1].Closes {
-		move = Move{Name: Ladder[n-2].Back, Level: n - 1}
+	if f == Pipelines {
+		if uses := v.uses(f); uses != "" {
+			return nil, uses
+		}
+		to := v.Level.of(v.Level.Features)
+		to.Hold, to.Allow, to.Ends = why, 0, f
+		return v.stay(to), ""
+	}
+	move := ""
+	if step.Closes {
+		move = stepOf(step.Needs).Back
+	}
+	c := v.change(next, v.moveBeside(step, move))
+	return &c, ""
+}
+
+// mostNamed bounds the jobs that are named as standing in the way.
+const mostNamed = 5
+
+// uses says what is stored and needs a feature, or "".
+func (v *View) uses(f Feature) string {
+	if v.Uses == nil {
+		return ""
+	}
+	names := v.Uses(f)
+	if len(names) == 0 {
+		return ""
+	}
+	slices.Sort(names)
+	return fmt.Sprintf("%d unfinished jobs need feature %q, among them %s", len(names), f, strings.Join(names[:min(mostNamed, len(names))], ", "))
+}
+
+// end carries out what a person asked for: it takes the feature off that is to go, or
+// gives that up if something needs it. All that was taken before is in this look, for
+// it was written under the level of before, and this one sees the one after.
+func (v *View) end() (*Change, string) {
+	f := v.Level.Ends
+	if v.Steward == 0 {
+		return nil, fmt.Sprintf("the steward takes feature %q off", f)
+	}
+	if v.uses(f) != "" {
+		to := v.Level.of(v.Level.Features)
+		to.Ends = ""
+		return v.stay(to), ""
+	}
+	next := v.Level.without(f)
+	next.Ends = ""
+	if stuck := v.lacking(next); stuck != "" {
+		return nil, stuck
 	}
-	c := v.change(next, move)
+	c := v.change(next, v.moveBeside(stepOf(f), ""))
 	return &c, ""
 }
 
@@ -190,7 +320,7 @@
 	if stuck := v.stuck(); stuck != "" {
 		return nil, stuck
 	}
-	to := v.Level.at(v.Level.N)
+	to := v.Level.of(v.Level.Features)
 	to.Hold, to.Allow = why, 0
 	return v.stay(to), ""
 }
@@ -200,10 +330,10 @@
 	if stuck := v.stuck(); stuck != "" {
 		return nil, stuck
 	}
-	to := v.Level.at(v.Level.N)
-	to.Hold = ""
-	if n := to.N; n < Top() && Ladder[n].Closes {
-		to.Allow = n + 1
+	to := v.Level.of(v.Level.Features)
+	to.Hold, to.Ends = "", ""
+	if slices.ContainsFunc(v.next(), func(s *Step) bool { return s.Closes }) {
+		to.Allow = to.N + 1
 	}
 	return v.stay(to), ""
 }
@@ -219,7 +349,7 @@
 	switch {
 	case v.LevelBad != "":
 		return statekv.LevelKey + " cannot be read: " + v.LevelBad
-	case v.Level.N > Top() || !slices.Equal(v.Level.Features, FeaturesAt(v.Level.N)):
+	case slices.ContainsFunc(v.Level.Features, func(f Feature) bool { return stepOf(f) == nil }):
 		return fmt.Sprintf("level %d has features that this build (%s) does not know", v.Level.N, Build)
 	}
 	return ""
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"robinstack/job"
 	"robinstack/policy"
 	"robinstack/statekv"
 )
@@ -80,7 +81,7 @@
 		slog.Info("level not raised", "to", change.To.N, "err", err)
 		return
 	}
-	slog.Info("level raised", "to", change.To.N, "adds", change.To.Features[change.To.N-1])
+	slog.Info("level changed", "to", change.To.N, "features", change.To.Features)
 }
 
 // tell logs what a rise waits for, when that becomes something else than time passing.
@@ -109,6 +110,7 @@
 	known, _ := g.reader.Now()
 	v := Look(g.mirror, g.hosts, known)
 	v.Self, v.Steward = g.host, g.steward()
+	v.Uses = g.uses
 	v.Soak, v.Absent, v.Held = g.policy.RolloutSoak, g.policy.RolloutAbsent, g.policy.RolloutHold
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -130,6 +132,20 @@
 	return v
 }
 
+// uses lists the unfinished jobs that need a feature, as last seen.
+func (g *Gate) uses(f Feature) []string {
+	var out []string
+	if f != Pipelines {
+		return out
+	}
+	for _, kv := range g.mirror.Dir(job.OpenPrefix) {
+		if job.NeedsPipelines(kv.Value) {
+			out = append(out, kv.Key[len(job.OpenPrefix):])
+		}
+	}
+	return out
+}
+
 // refuseAfter is how long controllers that are not steward leave an intruder to the
 // steward, which may be the intruder.
 const refuseAfter = time.Second
@@ -187,9 +203,10 @@
 	LowerVerb = "lower"
 )
 
-// Do carries out the command of a person. A *Stuck says what stands in its way; any
+// Do carries out the command of a person; f is the feature that lowering takes off, or
+// "" for the one that came on last. A *Stuck says what stands in its way; any
 // other error leaves open whether it was carried out, which the status shows.
-func (g *Gate) Do(ctx context.Context, verb, why string) error {
+func (g *Gate) Do(ctx context.Context, verb string, f Feature, why string) error {
 	if why == "" {
 		why = "by a person"
 	}
@@ -208,7 +225,7 @@
 		case RaiseVerb:
 			change, stuck = v.Raise()
 		case LowerVerb:
-			change, stuck = v.Lower("lowered: " + why)
+			change, stuck = v.Lower(f, "lowered: "+why)
 		default:
 			stuck = fmt.Sprintf("%q is none of hold, raise, lower", verb)
 		}
--- a/rollout/level.go
+++ b/rollout/level.go
@@ -3,7 +3,7 @@
 //
 // Each life registers what its build knows: features, and the forms of stored values
 // that it reads and writes. The fleet has one level; a level is a set of features that
-// are on, each adding one to those below it. It is a key of the state service that
+// are on, and its number is how many those are. It is a key of the state service that
 // changes only under conditions: it rises when every controller that lives has what the
 // next level needs and has stood for a while, and no life began meanwhile; a life
 // begins only under the level that it has seen and knows. So at every moment each
@@ -18,6 +18,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 
 	"robinstack/ended"
@@ -26,7 +27,7 @@
 )
 
 // Build names this version, for operators.
-const Build = "0.2.0"
+const Build = "0.3.0"
 
 // Feature is something that all controllers of a fleet have to know before any may
 // do it.
@@ -42,6 +43,8 @@
 	Ended Feature = "ended"
 	// EndedOnly: and no longer under robin/final/.
 	EndedOnly Feature = "ended-only"
+	// Pipelines: jobs may wait for others, and records may be in pieces.
+	Pipelines Feature = "pipelines"
 )
 
 // Kinds of stored values that have forms.
@@ -51,31 +54,48 @@
 	LevelKind  = "level"
 )
 
-// Step leads from one level to the next.
+// Step brings one feature.
 type Step struct {
 	Adds  Feature
+	Needs Feature        // has to be on before; "": none
 	Forms map[string]int // forms that are written from then on, by kind
 	// Closes: what is written from then on cannot be read by the former version. The
 	// fleet goes there only when a person says so.
 	Closes bool
-	// Move is what has to be done to stored values at this level before it may be left
-	// upwards, and Back before it may be left downwards if the level above was left.
+	// Move is what has to be done to stored values before what needs this feature comes
+	// on, and Back before this feature may go off if what needs it was on.
 	Move, Back string
-	For        string // for operators: what it brings
+	// Prompt: it comes on as soon as all controllers have it. Users wait for it, and it
+	// writes nothing by itself.
+	Prompt bool
+	For    string // for operators: what it brings
 }
 
-// Ladder is what this build knows: Ladder[n] leads to level n+1.
+// Ladder is what this build knows. The steps up to the one that closes the way back are
+// each other's needs, as the former version climbed them one by one; Pipelines stands
+// beside them: by the ladder it would have come much too late, or never.
 var Ladder = []Step{
-	{Adds: Gated, For: "controllers join and rise only under conditions"},
-	{Adds: Failures, For: "a job's failures are known to its next placer"},
-	{Adds: Ended, Forms: map[string]int{EndedKind: ended.Form}, Move: MoveCopy, Back: MoveBack, For: "ended jobs have small records, beside the former ones"},
-	{Adds: EndedOnly, Closes: true, Move: MoveDrop, For: "the former records of ended jobs go"},
+	{Adds: Gated, Prompt: true, For: "controllers join and rise only under conditions"},
+	{Adds: Failures, Needs: Gated, For: "a job's failures are known to its next placer"},
+	{Adds: Ended, Needs: Failures, Forms: map[string]int{EndedKind: ended.Form}, Move: MoveCopy, Back: MoveBack, For: "ended jobs have small records, beside the former ones"},
+	{Adds: EndedOnly, Needs: Ended, Closes: true, Move: MoveDrop, For: "the former records of ended jobs go"},
+	{Adds: Pipelines, Needs: Gated, Prompt: true, For: "jobs may wait for others"},
 }
 
 // Top is the highest level of this build.
 func Top() int { return len(Ladder) }
 
-// FeaturesAt lists what is on at a level of this build.
+// stepOf returns the step that brings a feature, or nil.
+func stepOf(f Feature) *Step {
+	for k := range Ladder {
+		if Ladder[k].Adds == f {
+			return &Ladder[k]
+		}
+	}
+	return nil
+}
+
+// FeaturesAt lists the first n features of this build.
 func FeaturesAt(n int) []Feature {
 	out := []Feature{}
 	for _, s := range Ladder[:n] {
@@ -84,11 +104,11 @@
 	return out
 }
 
-func formsAt(n int) map[string]int {
+func formsOf(features []Feature) map[string]int {
 	out := map[string]int{}
-	for _, s := range Ladder[:n] {
-		for kind, form := range s.Forms {
-			out[kind] = form
+	for _, s := range Ladder {
+		if slices.Contains(features, s.Adds) {
+			maps.Copy(out, s.Forms)
 		}
 	}
 	return out
@@ -101,21 +121,37 @@
 type Level struct {
 	Form     int            `json:"form"`
 	N        int            `json:"level"`
-	Features []Feature      `json:"features"`
+	Features []Feature      `json:"features"` // in the order in which they came on
 	Forms    map[string]int `json:"forms,omitempty"`
 	Hold     string         `json:"hold,omitempty"`  // why it does not rise by itself
 	Allow    int            `json:"allow,omitempty"` // level up to which a person let it rise although that closes the way back
 	By       string         `json:"by,omitempty"`    // controller that wrote it
+	// Ends is a feature that is to go off: nothing that needs it is taken any more. The
+	// steward sees to it, unless there is something that needs it still.
+	Ends Feature `json:"ends,omitempty"`
 
 	Rest statekv.Rest `json:"-"`
 }
 
-// at returns the level n with what else l says.
-func (l Level) at(n int) Level {
-	l.Form, l.N, l.Features, l.Forms = levelForm, n, FeaturesAt(n), formsAt(n)
+// of returns the level of these features with what else l says.
+func (l Level) of(features []Feature) Level {
+	l.Form, l.N, l.Features, l.Forms = levelForm, len(features), features, formsOf(features)
 	return l
 }
 
+// at returns the level of the first n features.
+func (l Level) at(n int) Level { return l.of(FeaturesAt(n)) }
+
+// with and without return the level with a feature more, or less.
+func (l Level) with(f Feature) Level { return l.of(append(slices.Clone(l.Features), f)) }
+
+func (l Level) without(f Feature) Level {
+	return l.of(slices.DeleteFunc(slices.Clone(l.Features), func(g Feature) bool { return g == f }))
+}
+
+// Takes reports whether a feature is on and what needs it is still taken.
+func (l Level) Takes(f Feature) bool { return l.Has(f) && l.Ends != f }
+
 // Has reports whether a feature is on.
 func (l Level) Has(f Feature) bool { return slices.Contains(l.Features, f) }
 
--- a/rollout/move.go
+++ b/rollout/move.go
@@ -38,14 +38,24 @@
 	Listed []BadValue `json:"unreadable,omitempty"`
 }
 
+// unreadable is the name of a move whose key cannot be read.
+const unreadable = "unreadable"
+
 // mostBad bounds the unreadable values that are listed by key, and mostWhy the bytes of
 // each reason: with keys of 200 bytes, the longest there are, all of it must fit the
 // smallest limit of a value, or the move could never go on.
 const (
-	mostBad = 8
+	mostBad = 4
 	mostWhy = 150
 )
 
+// MarshalJSON keeps to those that fit: the former version listed more.
+func (m Move) MarshalJSON() ([]byte, error) {
+	type plain Move
+	m.Listed = m.Listed[:min(len(m.Listed), mostBad)]
+	return json.Marshal(plain(m))
+}
+
 // unreadable notes a value that is left as it is.
 func (m *Move) unreadable(key string, err error) {
 	slog.Error("a value cannot be read; it is left as it is", "key", key, "err", err)
@@ -133,7 +143,7 @@
 	}
 	level, err := ParseLevel(levelKV.Value)
 	if err != nil || level.N != at.Level {
-		return false, nil
+		return false, nil // it was made at another level
 	}
 	from := ended.FormerPrefix
 	if at.Name == MoveBack {
--- a/rollout/status.go
+++ b/rollout/status.go
@@ -59,13 +59,12 @@
 		s.WaitsFor = "the steward's next look"
 	}
 	next := v.Level
-	if v.Level.N < Top() {
-		next = v.Level.at(v.Level.N + 1)
-		step := Ladder[v.Level.N]
-		s.Next = &NextStatus{next.N, step.Adds, step.For, step.Closes}
+	if steps := v.next(); len(steps) > 0 {
+		next = v.Level.with(steps[0].Adds)
+		s.Next = &NextStatus{next.N, steps[0].Adds, steps[0].For, steps[0].Closes}
 	}
 	if v.Level.N > 0 {
-		if _, s.Lower = v.Lower(""); s.Lower == "" {
+		if _, s.Lower = v.Lower("", ""); s.Lower == "" {
 			s.Lower = "possible"
 		}
 	}
