Pipelines: a job that waits for others follows from their final records

Need: submissions name jobs that have to be done first (waits_on).

Change: package pipeline judges waiting jobs, pure, from open records that name others and from final records; every controller mirrors all it takes, so a cancellation reaches the end of any chain without a message or a write, and its users are told at once. The placer starts nothing that waits, asks no machines for it, counts its times from readiness and treats what others need as having their rank and due time. Unknown names are looked up in one transaction without changes, 422 only where it held. What one transaction cannot remove is swept.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -15,9 +15,11 @@
 	"robinstack/agent"
 	"robinstack/cloud"
 	"robinstack/config"
+	"robinstack/ended"
 	"robinstack/gateway"
 	"robinstack/job"
 	"robinstack/peer"
+	"robinstack/pipeline"
 	"robinstack/placer"
 	"robinstack/policy"
 	"robinstack/rollout"
@@ -99,7 +101,7 @@
 		pl *placer.Placer
 		st *steward.Steward
 	)
-	mirror := statekv.NewMirror(c.store, []string{statekv.FleetPrefix, job.OpenPrefix}, statekv.RootPrefix, c.settings.WatchTime(), c.settings.WatchPause(), func(events []statekv.Event) {
+	mirror := statekv.NewMirror(c.store, []string{statekv.FleetPrefix, job.OpenPrefix, job.PiecePrefix}, statekv.RootPrefix, c.settings.WatchTime(), c.settings.WatchPause(), func(events []statekv.Event) {
 		if events == nil {
 			pl.Recheck()
 			return
@@ -115,6 +117,8 @@
 		}
 	})
 	mirror.Parse = agent.ParseKey
+	pipes := pipeline.NewTracker(mirror, c.takes, c.gateway.Final)
+	mirror.First = pipes.OnEvents
 	if err := mirror.Load(ctx); err != nil {
 		return fmt.Errorf("reading the fleet's keys: %w", err)
 	}
@@ -146,7 +150,7 @@
 	network := peer.New(c.settings.Host, addresses, server, greeter)
 	defer network.Close()
 	ag = agent.New(c.settings, c.store, mirror, member, c.workers, c.catalogue.Types)
-	pl = placer.New(c.settings, c.policy, c.store, mirror, member, network, c.catalogue.Types)
+	pl = placer.New(c.settings, c.policy, c.store, mirror, member, network, c.catalogue.Types, pipes)
 	pl.Clock = clock
 	st = steward.New(c.settings, c.policy, mirror, member, network, c.cloud, c.catalogue)
 	for name, service := range map[string]any{"Agent": agent.NewService(ag), "Placer": placer.NewService(pl), "Steward": steward.NewService(st), "Peer": greeter} {
@@ -161,6 +165,7 @@
 		st.OnEntries(entries)
 	})
 	ag.Known = feed.Known
+	sweeper := &ended.Sweeper{Store: c.store, Mirror: mirror, Member: member, Steward: st.Epoch, Ops: c.settings.State.TxnOps, Every: sweepEvery}
 	ln, err := net.Listen("tcp4", c.settings.PeerListen)
 	if err != nil {
 		return fmt.Errorf("listening for peers: %w", err)
@@ -180,7 +185,9 @@
 	duties.Go(func() { st.Run(ctx, feed) })
 	duties.Go(func() { gate.Run(ctx) })
 	duties.Go(func() { mover.Run(ctx) })
-	c.gateway.SetLife(&gateway.Life{Member: member, Mirror: mirror, Agent: ag, Placer: pl, Steward: st, Feed: feed, Gate: gate, Levels: rollout.NewReader(mirror), Call: network, Clock: clock})
+	duties.Go(func() { sweeper.Run(ctx) })
+	duties.Go(func() { pipes.Run(ctx, c.gateway.ReadEnded) })
+	c.gateway.SetLife(&gateway.Life{Member: member, Mirror: mirror, Agent: ag, Placer: pl, Steward: st, Feed: feed, Gate: gate, Levels: rollout.NewReader(mirror), Pipes: pipes, Call: network, Clock: clock})
 	err = <-lost
 	c.gateway.SetLife(nil)
 	cancel()
@@ -188,6 +195,25 @@
 	return err
 }
 
+// sweepEvery is how often the steward looks for keys that jobs have left behind.
+const sweepEvery = time.Minute
+
+// stageOverhead is about what passes between the end of a job and the start of those
+// that wait for it, the image and the run itself left aside: its record is written, the
+// others see that, and look for places.
+const stageOverhead = 3 * time.Second
+
+// takes is about how long a job takes once it is ready.
+func (c *Controller) takes(spec *job.Spec) time.Duration {
+	slowest := 0.0
+	for _, t := range c.catalogue.Types() {
+		if t.FetchGBPerS > 0 && spec.AllowsType(t.Name) && spec.Fits(job.Capacity(t)) {
+			slowest = max(slowest, spec.ImageGB/t.FetchGBPerS)
+		}
+	}
+	return config.Seconds(spec.EstimateS+slowest) + stageOverhead
+}
+
 // share divides what the state service allows among the controllers that live:
 // those that take over a dead one's machines need its share for it.
 func (c *Controller) share(ctx context.Context, member *statekv.Member) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"robinstack/config"
 	"robinstack/ended"
 	"robinstack/job"
+	"robinstack/pipeline"
 	"robinstack/placer"
 	"robinstack/rollout"
 	"robinstack/serving"
@@ -37,6 +38,7 @@
 	Feed    *agent.Feed
 	Gate    *rollout.Gate
 	Levels  *rollout.Reader
+	Pipes   *pipeline.Tracker
 	Call    agent.Caller
 	Clock   *serving.Clock
 }
@@ -169,6 +171,9 @@
 	Running int    `json:"running"`
 }
 
+// Final returns the record of a job that is over, if it was read here lately.
+func (g *Gateway) Final(id string) (ended.Record, bool) { return g.final(id) }
+
 func (g *Gateway) final(id string) (ended.Record, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -208,9 +213,9 @@
 	}
 }
 
-// readEnded reads the record of a job that is over. Only a controller whose life goes
+// ReadEnded reads the record of a job that is over. Only a controller whose life goes
 // on can tell that there is none: see ended.Read.
-func (g *Gateway) readEnded(ctx context.Context, id string) (ended.Record, error) {
+func (g *Gateway) ReadEnded(ctx context.Context, id string) (ended.Record, error) {
 	l := g.life.Load()
 	if l == nil {
 		return ended.Record{}, fmt.Errorf("%w: starting", statekv.ErrRefused)
@@ -248,7 +253,7 @@
 		if !g.store.Room(statekv.Lookups, 1) {
 			return jobStatus{}, fmt.Errorf("%w: too many questions about jobs that are over or unknown", statekv.ErrRefused)
 		}
-		f, err := g.readEnded(ctx, id)
+		f, err := g.ReadEnded(ctx, id)
 		if err != nil {
 			return jobStatus{}, err
 		}
@@ -258,6 +263,14 @@
 	if err != nil {
 		return jobStatus{}, err
 	}
+	if f, waits, err := g.waits(id, kv); err != nil {
+		return jobStatus{}, err
+	} else if f.Status != "" {
+		g.keepFinal(id, f)
+		return finalStatus(id, f), nil
+	} else if waits {
+		return jobStatus{ID: id, Status: job.Queued}, nil
+	}
 	s := jobStatus{ID: id, Status: job.Queued}
 	s.Done, s.Running = g.counts(ctx, id, kv)
 	if s.Running > 0 {
@@ -294,6 +307,35 @@
 	return reply.Done, reply.Running
 }
 
+// waits tells whether an open job waits for others, or which answer it has for good
+// because one before it was cancelled: nothing need be written for that to be so.
+func (g *Gateway) waits(id string, open statekv.KV) (f ended.Record, waits bool, err error) {
+	if !job.NeedsPipelines(open.Value) {
+		return f, false, nil
+	}
+	l := g.life.Load()
+	if l == nil {
+		return f, false, fmt.Errorf("%w: starting", statekv.ErrRefused)
+	}
+	v, ok := l.Pipes.Judge(id)
+	if !ok {
+		// It names none, or cannot be read, or the mirror has come further since.
+		return f, false, nil
+	}
+	switch {
+	case v.State == pipeline.Withdrawn:
+		rec, err := job.ParseRecord(open.Value)
+		if err != nil {
+			return f, false, err
+		}
+		return ended.Record{Status: job.Cancelled, Tasks: rec.Spec.Tasks}, true, nil
+	case len(v.Unread) > 0:
+		// One of them may have been cancelled long ago.
+		return f, true, fmt.Errorf("%w: the records of jobs before it are being read", statekv.ErrRefused)
+	}
+	return f, v.State != pipeline.Ready, nil
+}
+
 func (g *Gateway) submit(c *fiber.Ctx) error {
 	spec, err := job.Parse(c.Body())
 	if err != nil {
@@ -317,12 +359,33 @@
 		return later(c, "starting")
 	}
 	rec := &job.Record{Spec: *spec, Slot: slot, Submitted: time.Now().UnixMilli()}
-	rev, err := l.Member.Write(ctx, append(ended.Absent(spec.ID), statekv.Cond{Key: job.OpenKey(spec.ID)}, statekv.Cond{Key: statekv.SlotPrefix + slot, Rev: epoch}),
-		[]statekv.Op{{Set: job.OpenKey(spec.ID), Value: rec}})
+	when := append(ended.Absent(spec.ID), statekv.Cond{Key: job.OpenKey(spec.ID)}, statekv.Cond{Key: statekv.SlotPrefix + slot, Rev: epoch})
+	var then []statekv.Op
+	if large := rec.Large(g.settings.State.ValueBytes); large || len(spec.WaitsOn) > 0 {
+		// Whoever does not know of these would start it at once, or not read it: none
+		// may live while such a record exists.
+		level, unchanged := l.Levels.Now()
+		if !level.Takes(rollout.Pipelines) {
+			return later(c, "not all controllers know jobs that wait for others yet")
+		}
+		when = append(when, unchanged)
+		if large {
+			if then, err = rec.Split(g.settings.State.ValueBytes, g.settings.State.TxnOps-1); err != nil {
+				return fail(c, fiber.StatusBadRequest, "waits_on or host_kinds: "+err.Error())
+			}
+		}
+	}
+	if reason, err := g.unfit(ctx, l, spec); err != nil {
+		slog.Debug("submission undecided", "job", spec.ID, "err", err)
+		return later(c, "undecided")
+	} else if reason != "" {
+		return fail(c, fiber.StatusUnprocessableEntity, reason)
+	}
+	rev, err := l.Member.Write(ctx, when, append(then, statekv.Op{Set: job.OpenKey(spec.ID), Value: rec}))
 	if err == nil {
 		l.Placer.Accepted(rec, rev)
 		l.Clock.Mark(serving.Accepted)
-		slog.Info("job accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks, "gpus", spec.GPUs, "due_s", spec.Due().Seconds(), "slot", slot)
+		slog.Info("job accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks, "gpus", spec.GPUs, "due_s", spec.Due().Seconds(), "slot", slot, "waits_on", len(spec.WaitsOn))
 		return c.Status(fiber.StatusCreated).JSON(jobStatus{ID: spec.ID, Status: job.Queued})
 	}
 	if errors.Is(err, statekv.ErrRefused) {
@@ -388,7 +451,7 @@
 		}
 		kv, err := g.openRecord(ctx, id)
 		if errors.Is(err, statekv.ErrNotFound) {
-			f, err := g.readEnded(ctx, id)
+			f, err := g.ReadEnded(ctx, id)
 			if errors.Is(err, statekv.ErrNotFound) {
 				return fail(c, fiber.StatusNotFound, "no such job")
 			}
@@ -409,9 +472,7 @@
 		f := ended.Record{Status: job.Cancelled, Tasks: rec.Spec.Tasks}
 		level, unchanged := l.Levels.Now()
 		then := append([]statekv.Op{{Delete: job.OpenKey(id)}}, ended.Ops(id, f, level.Writes())...)
-		for k := 1; k < job.Chunks(rec.Spec.Tasks); k++ {
-			then = append(then, statekv.Op{Delete: job.PartKey(id, k)})
-		}
+		then = append(then, job.DropExtras(id, rec.Spec.Tasks, rec.Pieces, g.settings.State.TxnOps-len(then))...)
 		_, err = l.Member.Write(ctx, []statekv.Cond{{Key: job.OpenKey(id), Rev: kv.Rev}, unchanged}, then)
 		if err == nil {
 			return answer(f)
--- /dev/null
+++ b/gateway/pipelines.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"robinstack/ended"
+	"robinstack/job"
+	"robinstack/statekv"
+)
+
+// unfit says why a submission may not name the jobs that it waits for, or "". An error
+// says that this cannot be told now.
+//
+// Between this look and the write of the new record any of those jobs may end, be
+// cancelled, or have its record written in another form: what the new job is follows
+// from their records whenever they are looked at, so nothing has to stay as it was.
+// Only that a job was accepted matters, and that never changes.
+func (g *Gateway) unfit(ctx context.Context, l *Life, spec *job.Spec) (string, error) {
+	var unknown []string
+	for _, id := range spec.WaitsOn {
+		if _, ok := g.final(id); ok {
+			continue
+		}
+		kv, ok := l.Mirror.Get(job.OpenKey(id))
+		if !ok {
+			unknown = append(unknown, id)
+			continue
+		}
+		if shape(kv) == job.Service {
+			return "waits_on: " + id + " is a service", nil
+		}
+	}
+	return g.neverAccepted(ctx, l, unknown)
+}
+
+// shape reads the shape of a stored job; "" where it is in pieces, which no service is
+// that names no others, or cannot be read.
+func shape(kv statekv.KV) string {
+	var r struct {
+		Spec struct {
+			Shape string `json:"shape"`
+		} `json:"spec"`
+	}
+	if json.Unmarshal(kv.Value, &r) != nil {
+		return ""
+	}
+	return r.Spec.Shape
+}
+
+// condsEach is how many conditions it takes to see that a job was never accepted.
+const condsEach = 3
+
+// neverAccepted names a job that was never accepted, or "" if all were. Another
+// controller may have accepted one a moment ago, one may have ended long ago, and its
+// record may be changing its form: only a transaction that finds it absent in all
+// places at one moment, while this life goes on, tells that it was never accepted.
+func (g *Gateway) neverAccepted(ctx context.Context, l *Life, ids []string) (string, error) {
+	most := (4*g.settings.State.TxnOps - 1) / condsEach
+	for len(ids) > 0 {
+		group := ids[:min(most, len(ids))]
+		ids = ids[len(group):]
+		for len(group) > 0 {
+			when := []statekv.Cond{l.Member.Cond()}
+			for _, id := range group {
+				when = append(append(when, ended.Absent(id)...), statekv.Cond{Key: job.OpenKey(id)})
+			}
+			_, err := g.store.Txn(ctx, when, nil)
+			if err == nil {
+				return "waits_on: " + group[0] + " was never accepted", nil
+			}
+			var conflict *statekv.Conflict
+			if !errors.As(err, &conflict) {
+				return "", err
+			}
+			if slices.Contains(conflict.Failed, l.Member.Cond().Key) {
+				return "", fmt.Errorf("%w: this life is over", statekv.ErrRefused)
+			}
+			left := slices.DeleteFunc(slices.Clone(group), func(id string) bool {
+				return slices.Contains(conflict.Failed, job.OpenKey(id)) || slices.Contains(conflict.Failed, ended.Key(id)) || slices.Contains(conflict.Failed, ended.FormerKey(id))
+			})
+			if len(left) == len(group) {
+				return "", fmt.Errorf("%w: %w", statekv.ErrRefused, err)
+			}
+			group = left
+		}
+	}
+	return "", nil
+}
--- /dev/null
+++ b/pipeline/pipeline.go
@@ -0,0 +1,216 @@
+// Package pipeline decides what becomes of jobs that wait for others.
+//
+// Nothing is pushed from job to job. What a waiting job is follows from final records
+// alone: it is ready when every job that it names has a durable final record that says
+// done, and withdrawn when one says withdrawn, or waits itself for such a one. So no
+// message, memory or live controller is needed for a cancellation to reach the end of a
+// chain, and whoever holds a job's slot, now or after any crash, comes to the same
+// answer. A job's placer may believe that it is done: without the record that opens
+// nothing.
+//
+// A job after a cancelled one has never started: it starts only when all that it names
+// have become done, and what has a final record never gets another. For the same reason
+// a verdict of ready or withdrawn never changes, and may be told to users before
+// anything is written of it.
+//
+// This file is pure; Tracker keeps the snapshot that it goes by up to date.
+package pipeline
+
+import (
+	"slices"
+	"time"
+
+	"robinstack/ended"
+	"robinstack/job"
+)
+
+// Node is an open job as far as pipelines are concerned.
+type Node struct {
+	ID    string
+	Needs []string // jobs that it waits for
+	Tasks int
+	Rank  string
+	Due   time.Time     // when it should be complete; zero: no deadline
+	Takes time.Duration // about how long it takes once it is ready
+	From  time.Time     // when it was submitted
+
+	// Bad says why its record cannot be read: it is left alone.
+	Bad string
+}
+
+// Snapshot is one look at the records.
+type Snapshot interface {
+	// Open returns the open job with this id. One that names no others may have no more
+	// than its id.
+	Open(id string) (*Node, bool)
+	// Ended returns the final record of a job, if it was read.
+	Ended(id string) (ended.Record, bool)
+}
+
+// State is what a waiting job has come to.
+type State int
+
+const (
+	// Waiting for jobs that are open.
+	Waiting State = iota
+	// Ready to start.
+	Ready
+	// Withdrawn because a job before it was cancelled.
+	Withdrawn
+	// Unread: what it waits for is neither open nor was its final record read.
+	Unread
+)
+
+// Verdict is what a waiting job is, and why.
+type Verdict struct {
+	State  State
+	On     []string  // open jobs that it names
+	Unread []string  // jobs, not only those that it names, whose final records have to be read
+	Cause  string    // the cancelled job that it is withdrawn for
+	Since  time.Time // when the last job that it needs was done; zero if that is not known
+}
+
+// Judge tells what a job that names others has come to. It looks at each job before it
+// once at most.
+func Judge(s Snapshot, n *Node) Verdict {
+	j := judge{s: s, cause: map[string]string{}}
+	v, untold := Verdict{State: Ready}, false
+	for _, id := range n.Needs {
+		if r, ok := s.Ended(id); ok {
+			if r.Status == job.Cancelled {
+				return Verdict{State: Withdrawn, Cause: id}
+			}
+			if untold = untold || r.AtMS == 0; r.At().After(v.Since) {
+				v.Since = r.At()
+			}
+			continue
+		}
+		p, open := s.Open(id)
+		if !open {
+			v.State = Unread
+			j.unread = append(j.unread, id)
+			continue
+		}
+		v.On = append(v.On, id)
+		if cause := j.withdrawn(p); cause != "" {
+			return Verdict{State: Withdrawn, Cause: cause}
+		}
+	}
+	if v.Unread = j.unread; len(v.On) > 0 {
+		v.State = Waiting
+	}
+	if v.State != Ready || untold {
+		v.Since = time.Time{}
+	}
+	return v
+}
+
+type judge struct {
+	s      Snapshot
+	cause  map[string]string // of the jobs looked at already
+	unread []string
+}
+
+// withdrawn names the cancelled job before n, directly or through others, or "". It
+// goes without recursion: chains are as long as users make them.
+func (j *judge) withdrawn(n *Node) string {
+	stack := []*Node{n}
+	for len(stack) > 0 {
+		n := stack[len(stack)-1]
+		stack = stack[:len(stack)-1]
+		if _, seen := j.cause[n.ID]; seen {
+			continue
+		}
+		j.cause[n.ID] = ""
+		for _, id := range n.Needs {
+			if r, ok := j.s.Ended(id); ok {
+				if r.Status == job.Cancelled {
+					return id
+				}
+				continue
+			}
+			if p, open := j.s.Open(id); open {
+				stack = append(stack, p)
+			} else if !slices.Contains(j.unread, id) {
+				j.unread = append(j.unread, id)
+			}
+		}
+	}
+	return ""
+}
+
+// Urgency is the rank and the due time that a job is treated as having.
+type Urgency struct {
+	Rank string
+	Due  time.Time // zero: none
+}
+
+// more returns the more urgent of both in each respect.
+func (u Urgency) more(o Urgency) Urgency {
+	if job.RankOf(o.Rank) > job.RankOf(u.Rank) {
+		u.Rank = o.Rank
+	}
+	if !o.Due.IsZero() && (u.Due.IsZero() || o.Due.Before(u.Due)) {
+		u.Due = o.Due
+	}
+	return u
+}
+
+// handed is what a job passes to those that it needs: they have to be done before it can
+// take its time.
+func (u Urgency) handed(takes time.Duration) Urgency {
+	if !u.Due.IsZero() {
+		u.Due = u.Due.Add(-takes)
+	}
+	return u
+}
+
+// Urgent works out the urgency that open jobs have from those that need them. One that
+// is withdrawn passes nothing on. Each job is looked at once for each that names it.
+func Urgent(s Snapshot, nodes map[string]*Node) map[string]Urgency {
+	sorted := order(nodes)
+	dead := map[string]bool{}
+	for _, n := range slices.Backward(sorted) {
+		dead[n.ID] = slices.ContainsFunc(n.Needs, func(id string) bool {
+			r, ok := s.Ended(id)
+			return dead[id] || ok && r.Status == job.Cancelled
+		})
+	}
+	out := map[string]Urgency{}
+	for _, n := range sorted {
+		if dead[n.ID] {
+			continue
+		}
+		own := Urgency{n.Rank, n.Due}.more(out[n.ID])
+		for _, id := range n.Needs {
+			out[id] = out[id].more(own.handed(n.Takes))
+		}
+	}
+	return out
+}
+
+// order sorts jobs so that each comes before those that it needs. Users can name only
+// jobs that were accepted, so there are no circles; if damage made one, its jobs are
+// left out.
+func order(nodes map[string]*Node) []*Node {
+	needed := map[string]int{} // by how many that have not been put out yet
+	for _, n := range nodes {
+		for _, id := range n.Needs {
+			needed[id]++
+		}
+	}
+	var out []*Node
+	for id, n := range nodes {
+		if needed[id] == 0 {
+			out = append(out, n)
+		}
+	}
+	for k := 0; k < len(out); k++ {
+		for _, id := range out[k].Needs {
+			if needed[id]--; needed[id] == 0 && nodes[id] != nil {
+				out = append(out, nodes[id])
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pipeline/tracker.go
@@ -0,0 +1,276 @@
+package pipeline
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"robinstack/ended"
+	"robinstack/job"
+	"robinstack/statekv"
+)
+
+// Keys are the mirrored keys.
+type Keys interface {
+	Get(key string) (statekv.KV, bool)
+	Dir(prefix string) []statekv.KV
+	Unreadable(key string, err error)
+}
+
+// Tracker keeps, for one life of a controller, the snapshot by which waiting jobs are
+// judged: the open jobs that name others, of all slots, and the final records of those
+// that they name. The mirror tells it each change before it says that it has seen it.
+type Tracker struct {
+	keys  Keys
+	takes func(*job.Spec) time.Duration
+	known func(id string) (ended.Record, bool) // final records that somebody here has read
+
+	mu       sync.Mutex
+	nodes    map[string]*Node
+	after    map[string]int // how many nodes name a job
+	finals   map[string]ended.Record
+	unread   map[string]bool // named jobs whose final records are wanted
+	changes  uint64
+	urgent   map[string]Urgency // as of urgentAt; nil: never worked out
+	urgentAt uint64
+	wake     chan struct{}
+}
+
+// NewTracker returns a tracker; takes tells about how long a job takes once it is ready,
+// known looks up final records that have been read anyway.
+func NewTracker(keys Keys, takes func(*job.Spec) time.Duration, known func(string) (ended.Record, bool)) *Tracker {
+	t := &Tracker{keys: keys, takes: takes, known: known, wake: make(chan struct{}, 1)}
+	t.reset()
+	return t
+}
+
+func (t *Tracker) reset() {
+	if t.finals == nil {
+		t.finals = map[string]ended.Record{}
+	}
+	t.nodes, t.after, t.unread = map[string]*Node{}, map[string]int{}, map[string]bool{}
+}
+
+// OnEvents takes note of changes; nil says that some were missed. It does no I/O.
+func (t *Tracker) OnEvents(events []statekv.Event) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if events == nil {
+		t.changes++
+		t.reset()
+		for _, kv := range t.keys.Dir(job.OpenPrefix) {
+			t.opened(kv.Key[len(job.OpenPrefix):], kv.Value)
+		}
+		for id := range t.finals {
+			if t.after[id] == 0 {
+				delete(t.finals, id)
+			}
+		}
+		return
+	}
+	for _, e := range events {
+		if id, ok := strings.CutPrefix(e.Key(), job.OpenPrefix); ok {
+			if e.Delete != "" {
+				t.closed(id)
+			} else {
+				t.opened(id, e.Value)
+			}
+		}
+	}
+	// A job's end and its final record come with one revision, in either order.
+	for _, e := range events {
+		if id, r, ok, err := ended.Parse(e.Set, e.Value); ok && err == nil && t.after[id] > 0 {
+			t.settle(id, r)
+		}
+	}
+}
+
+func (t *Tracker) settle(id string, r ended.Record) {
+	t.finals[id] = r
+	delete(t.unread, id)
+	t.changes++
+}
+
+func (t *Tracker) opened(id string, raw json.RawMessage) {
+	if t.nodes[id] != nil || !job.NeedsPipelines(raw) {
+		return // most name none; and what a job waits for never changes
+	}
+	rec, err := job.ParseRecord(raw)
+	if err == nil {
+		err = rec.Join(t.keys.Get)
+	}
+	if err != nil {
+		t.keys.Unreadable(job.OpenKey(id), err)
+		return
+	}
+	if len(rec.Spec.WaitsOn) == 0 {
+		return
+	}
+	n := &Node{ID: id, Needs: rec.Spec.WaitsOn, Tasks: rec.Spec.Tasks, Rank: rec.Spec.Rank, Takes: t.takes(&rec.Spec), From: rec.SubmittedAt()}
+	if due := rec.Spec.Due(); rec.Spec.DeadlineS != nil {
+		n.Due = n.From.Add(due)
+	}
+	t.nodes[id] = n
+	t.changes++
+	for _, p := range n.Needs {
+		t.after[p]++
+		if _, ok := t.finals[p]; ok {
+			continue
+		}
+		if r, ok := t.known(p); ok {
+			t.settle(p, r)
+		}
+	}
+}
+
+func (t *Tracker) closed(id string) {
+	if t.after[id] > 0 {
+		t.changes++
+	}
+	n := t.nodes[id]
+	if n == nil {
+		return
+	}
+	t.changes++
+	delete(t.nodes, id)
+	for _, p := range n.Needs {
+		if t.after[p]--; t.after[p] == 0 {
+			delete(t.after, p)
+			delete(t.finals, p)
+			delete(t.unread, p)
+		}
+	}
+}
+
+// snapshot is the tracker with its mutex held.
+type snapshot struct{ *Tracker }
+
+func (s snapshot) Open(id string) (*Node, bool) {
+	if n := s.nodes[id]; n != nil {
+		return n, true
+	}
+	_, ok := s.keys.Get(job.OpenKey(id))
+	return &Node{ID: id}, ok
+}
+
+func (s snapshot) Ended(id string) (ended.Record, bool) {
+	if r, ok := s.finals[id]; ok {
+		return r, true
+	}
+	if r, ok := s.known(id); ok && s.after[id] > 0 {
+		s.settle(id, r)
+		return r, true
+	}
+	return ended.Record{}, false
+}
+
+// Judge tells what an open job has come to; ok is false for one that names no others.
+// Final records that it lacks are read soon.
+func (t *Tracker) Judge(id string) (v Verdict, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.nodes[id]
+	if n == nil {
+		return v, false
+	}
+	v = Judge(snapshot{t}, n)
+	for _, p := range v.Unread {
+		if t.after[p] > 0 && !t.unread[p] {
+			t.unread[p] = true
+			select {
+			case t.wake <- struct{}{}:
+			default:
+			}
+		}
+	}
+	return v, true
+}
+
+// Changes counts the changes; while it stays the same so does every verdict.
+func (t *Tracker) Changes() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changes
+}
+
+// Urgency is what a job is treated as having, by those that need it; ok is false if
+// nobody does.
+func (t *Tracker) Urgency(id string) (u Urgency, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.after[id] == 0 {
+		return u, false
+	}
+	if t.urgent == nil || t.urgentAt != t.changes {
+		t.urgentAt = t.changes
+		t.urgent = Urgent(snapshot{t}, t.nodes)
+	}
+	u, ok = t.urgent[id]
+	return u, ok
+}
+
+// Names lists the open jobs that wait, or waited, for others.
+func (t *Tracker) Names() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for id := range t.nodes {
+		out = append(out, id)
+	}
+	return out
+}
+
+// readPause is the pause after a final record could not be read.
+const readPause = 300 * time.Millisecond
+
+// Run reads the final records that are wanted until ctx ends, one after the other.
+// What is read is kept for as long as anybody open names the job.
+func (t *Tracker) Run(ctx context.Context, read func(context.Context, string) (ended.Record, error)) {
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		id := ""
+		for id = range t.unread {
+			break
+		}
+		t.mu.Unlock()
+		if id == "" {
+			select {
+			case <-ctx.Done():
+			case <-t.wake:
+			}
+			continue
+		}
+		rctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		r, err := read(rctx, id)
+		t.mu.Lock()
+		delete(t.unread, id) // if it is still wanted, the next verdict says so
+		if err == nil && t.after[id] > 0 {
+			t.settle(id, r)
+		}
+		t.mu.Unlock()
+		if err == nil {
+			cancel()
+			continue
+		}
+		switch {
+		case errors.Is(err, statekv.ErrNotFound):
+			// It was open until a moment ago, or its record is being written: the
+			// mirror will show it.
+			slog.Debug("a job that others wait for has no record yet", "job", id)
+		case errors.Is(err, statekv.ErrRefused) || errors.Is(err, statekv.ErrUnknown) || rctx.Err() != nil:
+			slog.Debug("reading the record of a job that others wait for", "job", id, "err", err)
+		default:
+			// What waits for it goes on waiting, until a person has seen to it.
+			t.keys.Unreadable(ended.Key(id), err)
+		}
+		cancel()
+		select {
+		case <-ctx.Done():
+		case <-time.After(readPause):
+		}
+	}
+}
--- a/placer/events.go
+++ b/placer/events.go
@@ -157,7 +157,7 @@
 		}
 	}
 	if j.doneCount == len(j.tasks) && j.over == "" {
-		j.over = job.Done
+		j.over, j.overAt = job.Done, time.Now()
 		slog.Info("job complete", "job", j.spec.ID, "age", time.Since(j.submitted).Round(time.Millisecond))
 	}
 	p.wake()
--- a/placer/failures.go
+++ b/placer/failures.go
@@ -93,7 +93,7 @@
 // record is what is written of an unfinished job. The note of its failures is left out
 // where the value would become too large with it.
 func (p *Placer) record(j *jobState, failures bool) job.Record {
-	rec := job.Record{Spec: *j.spec, Slot: j.slot, Submitted: j.submitted.UnixMilli(), Done: j.done.Chunk(0), Rest: j.rest.Rest, SpecRest: j.rest.SpecRest}
+	rec := job.Record{Spec: *j.spec, Slot: j.slot, Submitted: j.submitted.UnixMilli(), Done: j.done.Chunk(0), Pieces: j.rest.Pieces, Rest: j.rest.Rest, SpecRest: j.rest.SpecRest}
 	if !failures || len(j.failedOn) == 0 {
 		return rec
 	}
--- a/placer/flush.go
+++ b/placer/flush.go
@@ -38,6 +38,11 @@
 			if n < maxFlushes {
 				start(j)
 			}
+		case j.over != "":
+			// Withdrawn with a job before it: users are told already (package pipeline).
+			if n < maxFlushes && p.store.Room(statekv.Chores, 3) {
+				start(j)
+			}
 		case (len(j.dirty) > 0 || j.noted) && now.Sub(j.dirtyAt) > foldEvery:
 			folds = append(folds, j)
 		}
@@ -62,7 +67,7 @@
 		p.mu.Unlock()
 		return
 	}
-	final := j.over == job.Done
+	final := j.over != ""
 	chunks := len(j.dirty)
 	// Under the level that its form goes by: after a change nothing is written any more
 	// in the form of before.
@@ -72,26 +77,28 @@
 	dirty, noted := j.dirty, j.noted
 	j.dirty, j.dirtyAt = map[int]bool{}, time.Time{}
 	over := len(j.ended)
+	pieces := j.rest.Pieces
 	if final {
-		then = append(then, statekv.Op{Delete: job.OpenKey(id)})
-		then = append(then, ended.Ops(id, ended.Record{Status: job.Done, Tasks: len(j.tasks)}, level.Writes())...)
-		for k := 1; k < job.Chunks(len(j.tasks)); k++ {
-			then = append(then, statekv.Op{Delete: job.PartKey(id, k)})
+		r := ended.Record{Status: j.over, Tasks: len(j.tasks)}
+		if j.over == job.Done {
+			r.AtMS = j.overAt.UnixMilli()
 		}
+		then = append(then, statekv.Op{Delete: job.OpenKey(id)})
+		then = append(then, ended.Ops(id, r, level.Writes())...)
+		then = append(then, job.DropExtras(id, len(j.tasks), pieces, p.settings.State.TxnOps-len(then))...)
 	} else {
 		rec := p.record(j, level.Has(rollout.Failures))
+		then = p.recordOps(j, &rec, dirty, level)
+		pieces = rec.Pieces
 		j.noted = false
-		then = append(then, statekv.Op{Set: job.OpenKey(id), Value: rec})
-		for k := range dirty {
-			if k > 0 {
-				then = append(then, statekv.Op{Set: job.PartKey(id, k), Value: j.done.Chunk(k)})
-			}
-		}
 	}
 	p.mu.Unlock()
 
 	tctx, cancel := context.WithTimeout(ctx, 3*time.Second)
-	rev, err := p.member.Write(tctx, when, then)
+	rev, err := uint64(0), errTooSoon
+	if len(then) > 0 {
+		rev, err = p.member.Write(tctx, when, then)
+	}
 	var verdict string
 	if statekv.IsConflict(err) {
 		verdict, rev, err = p.readBack(tctx, id)
@@ -106,7 +113,7 @@
 	defer p.mu.Unlock()
 	j.flushing = false
 	if err == nil && verdict == "" {
-		j.rev = rev
+		j.rev, j.rest.Pieces = rev, pieces
 		if final {
 			j.recorded = true
 			// Tasks that another attempt or member made superfluous stop now.
@@ -141,6 +148,43 @@
 	}
 }
 
+// errTooSoon says that a record has to be kept in pieces and not all controllers of the
+// fleet can read those yet. What has finished stays in the workers' reports.
+var errTooSoon = errors.New("its record is too large for one value, and not all controllers know pieces yet")
+
+// recordOps are the changes that write an unfinished job's record and the chunks of
+// finished tasks, as many as one transaction takes; it removes those from dirty that are
+// left for later, and puts them back into the job's own. A record that is too large,
+// which a version that knew a higher limit wrote, is brought into pieces. It returns
+// nothing where that cannot be done yet.
+func (p *Placer) recordOps(j *jobState, rec *job.Record, dirty map[int]bool, level rollout.Level) []statekv.Op {
+	var then []statekv.Op
+	limit, most := p.settings.State.ValueBytes, p.settings.State.TxnOps
+	if rec.Pieces == 0 && rec.Large(limit) {
+		if !level.Has(rollout.Pipelines) {
+			return nil
+		}
+		ops, err := rec.Split(limit, most-1)
+		if err != nil {
+			slog.Error("job record", "job", rec.Spec.ID, "err", err)
+			return nil
+		}
+		then = ops
+	}
+	then = append(then, statekv.Op{Set: job.OpenKey(rec.Spec.ID), Value: *rec})
+	for k := range dirty {
+		switch {
+		case k == 0:
+		case len(then) < most:
+			then = append(then, statekv.Op{Set: job.PartKey(rec.Spec.ID, k), Value: j.done.Chunk(k)})
+		default:
+			delete(dirty, k)
+			j.dirty[k], j.dirtyAt = true, time.Now()
+		}
+	}
+	return then
+}
+
 const stillOpen = "open"
 
 // readBack finds out what a job's record says after a write of ours met a
--- a/placer/patience.go
+++ b/placer/patience.go
@@ -80,9 +80,9 @@
 // by the tightest of the users' aims for its class that it would probably meet if it
 // began to fetch now; 0 if waiting would put that at risk.
 func (p *Placer) aimSlack(j *jobState, fetch time.Duration) time.Duration {
-	age := time.Since(j.submitted)
+	age := time.Since(j.from)
 	tightest := time.Duration(0)
-	for _, within := range j.waits {
+	for _, within := range j.aims {
 		if within-age >= fetch {
 			tightest = within - age
 			break
--- a/placer/place.go
+++ b/placer/place.go
@@ -95,6 +95,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.lookAtWaits(now)
 	if p.workers >= maxPlacements {
 		return // the end of one of them wakes the queue
 	}
@@ -104,14 +105,14 @@
 	}
 	var queue []item
 	for _, j := range p.jobs {
-		if j.over != "" || j.busy || now.Before(j.nextTry) || now.Before(j.shape.fullTill) || !p.mayStart(j) {
+		if j.over != "" || j.waits || j.busy || now.Before(j.nextTry) || now.Before(j.shape.fullTill) || !p.mayStart(j) {
 			continue
 		}
 		w := j.waiting()
 		if w == 0 || j.spec.Shape == job.Gang && w < len(j.tasks) {
 			continue
 		}
-		order := p.policy.Order(j.spec, now.Sub(j.submitted), j.limits, j.lastWait())
+		order := p.policy.Order(j.as, now.Sub(j.from), j.limits, j.lastWait())
 		if j.suspect {
 			order = math.Inf(-1)
 		}
@@ -164,8 +165,8 @@
 }
 
 func (p *Placer) placeOnce(ctx context.Context, j *jobState) (full bool) {
-	spec := j.spec
 	p.mu.Lock()
+	spec := j.as
 	s := p.slots[j.slot]
 	if s == nil || j.over != "" {
 		p.mu.Unlock()
@@ -187,7 +188,7 @@
 	if time.Now().After(j.avoidTill) {
 		j.avoid = nil
 	}
-	req := agent.Request{Spec: *spec, Slot: j.slot, Epoch: s.epoch, Age: time.Since(j.submitted), Avoid: slices.Clone(j.avoid), Tasks: len(indices),
+	req := agent.Request{Spec: *spec, Slot: j.slot, Epoch: s.epoch, Age: time.Since(j.from), Avoid: slices.Clone(j.avoid), Tasks: len(indices),
 		Share: p.policy.SampleMachines, Least: p.policy.SampleLeast, Spare: p.policy.MultiBind, Parts: p.policy.ClassParts, Zones: openZones(spec, others, p.settings.Zones)}
 	p.mu.Unlock()
 
@@ -288,7 +289,7 @@
 	p.mu.Lock()
 	suspect := j.suspect
 	p.mu.Unlock()
-	if !p.policy.Preempt || suspect || j.spec.Priority() <= job.LowestPriority {
+	if !p.policy.Preempt || suspect || req.Spec.Priority() <= job.LowestPriority {
 		return false
 	}
 	soon := func() {
@@ -345,10 +346,10 @@
 // timeLeft is how long the job's tasks may wait yet by the tightest of the
 // users' aims for its class, and 0 if there is none.
 func (p *Placer) timeLeft(j *jobState) time.Duration {
-	if len(j.waits) == 0 {
+	if len(j.aims) == 0 {
 		return 0
 	}
-	return max(0, j.waits[0]-time.Since(j.submitted))
+	return max(0, j.aims[0]-time.Since(j.from))
 }
 
 // limitAllows asks whether the team's limit leaves room for the whole gang, so
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -17,6 +17,7 @@
 	"robinstack/cloud"
 	"robinstack/config"
 	"robinstack/job"
+	"robinstack/pipeline"
 	"robinstack/policy"
 	"robinstack/rollout"
 	"robinstack/serving"
@@ -55,13 +56,18 @@
 	slot      string
 	rev       uint64
 	submitted time.Time
+	from      time.Time // when it could start: its submission, or the end of the last job that it needs
+	waits     bool      // for other jobs: nothing is done for it
+	verdict   pipeline.Verdict
+	as        *job.Spec       // spec with the rank and deadline that it is treated as having
 	limits    []time.Duration // what the queue's order goes by
-	waits     []time.Duration // and the users' aims for when its tasks should have started
+	aims      []time.Duration // and the users' aims for when its tasks should have started
 	tasks     []taskState
 	done      job.Set
 	doneCount int
 	fresh     bool        // accepted in this life: nothing of it can run unknown to us
 	over      string      // final status, once decided
+	overAt    time.Time   // when it was found to be done
 	recorded  bool        // the final status is durable
 	rest      *job.Record // as it was read: what a later version wrote in it is kept
 	dirty     map[int]bool
@@ -87,10 +93,10 @@
 
 // lastWait is the longest of the users' aims for its wait, or 0.
 func (j *jobState) lastWait() time.Duration {
-	if len(j.waits) == 0 {
+	if len(j.aims) == 0 {
 		return 0
 	}
-	return j.waits[len(j.waits)-1]
+	return j.aims[len(j.aims)-1]
 }
 
 func (j *jobState) waiting() int {
@@ -114,6 +120,7 @@
 	call     agent.Caller
 	types    func() map[string]cloud.MachineType
 	levels   *rollout.Reader
+	pipes    *pipeline.Tracker
 	feed     *agent.Feed
 	ctx      context.Context
 
@@ -134,6 +141,8 @@
 	gone     map[string]deleted // records deleted lately, which a slower read may still show
 	workers  int
 	counters Counters
+	looked   uint64 // changes of the pipelines that were taken up
+	lookedAt time.Time
 	kick     chan struct{}
 }
 
@@ -148,8 +157,8 @@
 }
 
 // New returns a placer without slots.
-func New(settings *config.Settings, pol *policy.Policy, store statekv.Store, mirror *statekv.Mirror, member *statekv.Member, call agent.Caller, types func() map[string]cloud.MachineType) *Placer {
-	return &Placer{settings: settings, policy: pol, store: store, mirror: mirror, member: member, call: call, types: types, levels: rollout.NewReader(mirror),
+func New(settings *config.Settings, pol *policy.Policy, store statekv.Store, mirror *statekv.Mirror, member *statekv.Member, call agent.Caller, types func() map[string]cloud.MachineType, pipes *pipeline.Tracker) *Placer {
+	return &Placer{settings: settings, policy: pol, store: store, mirror: mirror, member: member, call: call, types: types, levels: rollout.NewReader(mirror), pipes: pipes,
 		jobs: map[string]*jobState{}, slots: map[string]*slotState{}, on: map[string]map[agent.TaskRef]bool{},
 		stops: map[agent.TaskRef]bool{}, others: map[string]bool{},
 		shapes: map[shapeKey]*shape{}, gone: map[string]deleted{}, kick: make(chan struct{}, 1)}
@@ -247,7 +256,8 @@
 	}
 	j.doneCount = j.done.Len()
 	j.recall(rec.Failed, time.Now())
-	j.limits, j.waits = p.settings.Limits(j.spec.Class, j.spec.DeadlineS), p.settings.Waits(j.spec.Class)
+	j.from, j.waits, j.as = j.submitted, len(j.spec.WaitsOn) > 0, j.spec
+	j.limits, j.aims = p.settings.Limits(j.spec.Class, j.spec.DeadlineS), p.settings.Waits(j.spec.Class)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.gone[rec.Spec.ID].rev > rev {
@@ -256,6 +266,7 @@
 	j.shape = p.shapeOf(j.spec)
 	if old := p.jobs[rec.Spec.ID]; old == nil || rev > old.rev && !old.flushing && old.slot != rec.Slot {
 		p.jobs[rec.Spec.ID] = j
+		p.lookedAt = time.Time{}
 	}
 	p.wake()
 	return nil
@@ -308,6 +319,9 @@
 		return
 	}
 	rec, err := job.ParseRecord(e.Value)
+	if err == nil {
+		err = rec.Join(p.mirror.Get)
+	}
 	if err != nil {
 		p.mirror.Unreadable(e.Key(), err)
 		return
@@ -387,10 +401,10 @@
 	req := steward.DemandRequest{Host: p.member.Host}
 	p.mu.Lock()
 	for _, j := range p.jobs {
-		if j.over != "" {
-			continue
+		if j.over != "" || j.waits {
+			continue // nothing is rented or kept for what cannot start
 		}
-		d := steward.Demand{Spec: *j.spec, AgeS: time.Since(j.submitted).Seconds()}
+		d := steward.Demand{Spec: *j.as, AgeS: time.Since(j.from).Seconds()}
 		for i := range j.tasks {
 			switch {
 			case j.done.Has(i):
--- a/placer/service.go
+++ b/placer/service.go
@@ -32,7 +32,14 @@
 	Team  string  `json:"team"`
 	Tasks int     `json:"tasks_waiting"`
 	AgeS  float64 `json:"age_s"`
-	Why   string  `json:"why"`
+
+	// Of a job in a pipeline: when it could start, since its submission, if it can; and
+	// the rank and the time to its deadline that it is treated as having.
+	ReadyS *float64 `json:"ready_s,omitempty"`
+	Rank   string   `json:"treated_as_rank,omitempty"`
+	LeftS  *float64 `json:"treated_as_left_s,omitempty"`
+
+	Why string `json:"why"`
 }
 
 // Queue lists at most n waiting jobs, the oldest first.
@@ -42,8 +49,18 @@
 	defer p.mu.Unlock()
 	for _, j := range p.jobs {
 		if w := j.waiting(); w > 0 && j.over == "" {
-			*reply = append(*reply, Waiting{Job: j.spec.ID, Class: j.spec.Class, Team: j.spec.Team, Tasks: w,
-				AgeS: time.Since(j.submitted).Seconds(), Why: p.why(j, w)})
+			item := Waiting{Job: j.spec.ID, Class: j.spec.Class, Team: j.spec.Team, Tasks: w, AgeS: time.Since(j.submitted).Seconds(), Why: p.why(j, w)}
+			if j.as != j.spec {
+				item.Rank = j.as.Rank
+				if j.as.DeadlineS != nil {
+					left := *j.as.DeadlineS - time.Since(j.from).Seconds()
+					item.LeftS = &left
+				}
+			}
+			if ready := j.from.Sub(j.submitted).Seconds(); len(j.spec.WaitsOn) > 0 && !j.waits {
+				item.ReadyS = &ready
+			}
+			*reply = append(*reply, item)
 		}
 	}
 	slices.SortFunc(*reply, func(a, b Waiting) int { return int(b.AgeS - a.AgeS) })
@@ -53,6 +70,8 @@
 
 func (p *Placer) why(j *jobState, waiting int) string {
 	switch {
+	case j.waits:
+		return j.waitsFor()
 	case !p.mayStart(j):
 		return "its last placer has gone; machines are being checked for its tasks"
 	case j.suspect:
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -212,11 +212,14 @@
 func (p *Placer) loadSlots(ctx context.Context, slots map[string]*slotState) error {
 	for _, kv := range p.mirror.Dir(job.OpenPrefix) {
 		rec, err := job.ParseRecord(kv.Value)
-		if err != nil {
-			p.mirror.Unreadable(kv.Key, err)
+		if err == nil && slots[rec.Slot] == nil {
 			continue
 		}
-		if slots[rec.Slot] == nil {
+		if err == nil {
+			err = rec.Join(p.mirror.Get)
+		}
+		if err != nil {
+			p.mirror.Unreadable(kv.Key, err)
 			continue
 		}
 		rec.Keep(kv.Value)
@@ -320,7 +323,7 @@
 	var when []statekv.Cond
 	var then []statekv.Op
 	for id, s := range p.slots {
-		if s.settled && !used[id] && len(then) < maxFlushes {
+		if s.settled && !used[id] && len(then) < min(maxFlushes, p.settings.State.TxnOps) {
 			ids = append(ids, id)
 			when = append(when, statekv.Cond{Key: statekv.SlotPrefix + id, Rev: s.epoch})
 			then = append(then, statekv.Op{Delete: statekv.SlotPrefix + id})
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -15,6 +15,7 @@
 	"robinstack/ended"
 	"robinstack/fakes"
 	"robinstack/job"
+	"robinstack/pipeline"
 	"robinstack/placer"
 	"robinstack/policy"
 	"robinstack/statekv"
@@ -113,12 +114,14 @@
 		State:   config.State{RPS: 100, WriteRPS: 50, ValueBytes: 8192, TxnOps: 24}}
 	ctx, stop := context.WithCancel(w.ctx)
 	n := &node{host: host, stop: stop, up: true}
-	mirror := statekv.NewMirror(w.state, []string{statekv.FleetPrefix, job.OpenPrefix}, statekv.RootPrefix, time.Second, 0, func(events []statekv.Event) {
+	mirror := statekv.NewMirror(w.state, []string{statekv.FleetPrefix, job.OpenPrefix, job.PiecePrefix}, statekv.RootPrefix, time.Second, 0, func(events []statekv.Event) {
 		for _, e := range events {
 			n.placer.OnJobEvent(e)
 		}
 	})
 	n.mirror = mirror
+	pipes := pipeline.NewTracker(mirror, func(*job.Spec) time.Duration { return 10 * time.Second }, func(string) (ended.Record, bool) { return ended.Record{}, false })
+	mirror.First = pipes.OnEvents
 	if err := mirror.Load(ctx); err != nil {
 		w.t.Fatal(err)
 	}
@@ -129,7 +132,7 @@
 	types := map[string]cloud.MachineType{"box": {Name: "box", CPUs: 8, GPUs: 2, MemoryGB: 64, FetchGBPerS: 0.1}}
 	n.agent = agent.New(settings, w.state, mirror, n.member, w.workers, func() map[string]cloud.MachineType { return types })
 	n.svc = agent.NewService(n.agent)
-	n.placer = placer.New(settings, policy.Default(), w.state, mirror, n.member, w, func() map[string]cloud.MachineType { return types })
+	n.placer = placer.New(settings, policy.Default(), w.state, mirror, n.member, w, func() map[string]cloud.MachineType { return types }, pipes)
 	feed := agent.NewFeed(w, mirror, []string{"host-0", "host-1"}, n.placer.Epoch, n.placer.OnEntries)
 	w.mu.Lock()
 	w.nodes[host] = n
--- /dev/null
+++ b/placer/waits.go
@@ -0,0 +1,98 @@
+package placer
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"time"
+
+	"robinstack/job"
+	"robinstack/pipeline"
+)
+
+// lookAgain is how often the jobs that wait for others are looked at although nothing
+// was heard: a final record that could not be read is asked for again.
+const lookAgain = time.Second
+
+// lookAtWaits takes up what has become of the jobs that wait for others, and how urgent
+// those are that others wait for. The mutex is held.
+func (p *Placer) lookAtWaits(now time.Time) {
+	changes := p.pipes.Changes()
+	if changes == p.looked && now.Sub(p.lookedAt) < lookAgain {
+		return
+	}
+	p.looked, p.lookedAt = changes, now
+	for id, j := range p.jobs {
+		if j.over != "" {
+			continue
+		}
+		if j.waits {
+			p.follow(id, j, now)
+		}
+		if u, ok := p.pipes.Urgency(id); ok {
+			j.treatAs(u)
+			j.limits = p.settings.Limits(j.spec.Class, j.as.DeadlineS)
+		}
+	}
+}
+
+// follow takes up the verdict on a job that waits for others.
+func (p *Placer) follow(id string, j *jobState, now time.Time) {
+	v, known := p.pipes.Judge(id)
+	if !known {
+		return // its record has not been seen yet
+	}
+	j.verdict = v
+	switch v.State {
+	case pipeline.Ready:
+		j.waits = false
+		if j.from = v.Since; j.from.IsZero() || j.from.After(now) {
+			j.from = now
+		}
+		if j.from.Before(j.submitted) {
+			j.from = j.submitted
+		}
+		j.treatAs(pipeline.Urgency{})
+		j.limits = p.settings.Limits(j.spec.Class, j.as.DeadlineS)
+		slog.Info("job ready", "job", id, "after", j.from.Sub(j.submitted).Round(time.Millisecond))
+	case pipeline.Withdrawn:
+		// Nothing of it has ever run: what it waits for cannot become done any more.
+		j.over = job.Cancelled
+		slog.Info("job withdrawn", "job", id, "because", v.Cause)
+	}
+}
+
+// treatAs sets the rank and the deadline that the job is treated as having: its own or,
+// where that is more urgent, what those that need it hand to it. Its deadline counts
+// from when it could start, as its age does.
+func (j *jobState) treatAs(u pipeline.Urgency) {
+	as := *j.spec
+	if job.RankOf(u.Rank) > as.Priority() {
+		as.Rank = u.Rank
+	}
+	due := u.Due
+	if own := j.submitted.Add(as.Due()); as.DeadlineS != nil && (due.IsZero() || own.Before(due)) {
+		due = own
+	}
+	if !due.IsZero() {
+		left := due.Sub(j.from).Seconds()
+		as.DeadlineS = &left
+	}
+	j.as = &as
+}
+
+// mostShown bounds the jobs that the status names for one that waits for them.
+const mostShown = 5
+
+func (j *jobState) waitsFor() string {
+	names := append(j.verdict.On, j.verdict.Unread...)
+	if len(names) == 0 {
+		return "waits for others; its record is being read"
+	}
+	more := ""
+	if len(names) > mostShown {
+		more = fmt.Sprintf(" and %d more", len(names)-mostShown)
+		names = names[:mostShown]
+	}
+	return "waits for " + strings.Join(names, ", ") + more
+}
