State service: a transaction refused as too large is split, and smaller ones follow

Need: limits are lowered without notice; what is larger gets 400 from then on. Until now that was an error like any other, tried again as large for ever.

Change: a 400 for a transaction is told from one for an ended lease; takings and claims are split, and all who write many changes at once ask how many a transaction may have now. It grows again by one at a time. Stories for it, for the limits to come, for records in pieces, and for sweeping what ended jobs left.

--- a/agent/owner.go
+++ b/agent/owner.go
@@ -449,7 +449,7 @@
 		case c := <-a.claims:
 			batch = append(batch, c)
 		}
-		for len(batch) < a.settings.State.TxnOps && len(a.claims) > 0 {
+		for len(batch) < a.store.Most(a.settings.State.TxnOps) && len(a.claims) > 0 {
 			batch = append(batch, <-a.claims)
 		}
 		// Meanwhile another controller may have claimed it, or taken the shard.
@@ -497,6 +497,11 @@
 			return
 		}
 		slog.Debug("claiming machines", "machines", len(batch), "err", err)
+		if errors.Is(err, statekv.ErrTooLarge) && len(batch) > 1 {
+			a.claimBatch(ctx, batch[:len(batch)/2], shards)
+			batch = batch[len(batch)/2:]
+			continue
+		}
 		var conflict *statekv.Conflict
 		if !errors.As(err, &conflict) {
 			return
--- a/agent/service.go
+++ b/agent/service.go
@@ -366,7 +366,7 @@
 		var batch []*machine
 		a.mu.Lock()
 		for _, m := range a.machines {
-			if m.removing && !m.gone && len(batch) < min(8, a.settings.State.TxnOps) {
+			if m.removing && !m.gone && len(batch) < a.store.Most(min(8, a.settings.State.TxnOps)) {
 				batch = append(batch, m)
 			}
 		}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -48,6 +49,7 @@
 		"facts.workers.lease_s": {`"lease_s":31`, `"lease_s":5`},
 		"facts.workers.cancel":  {`"cancel_s":56`, `"cancel_s":30`},
 		"facts.state.txn_ops":   {`"txn_ops":24`, `"txn_ops":2`},
+		"state.value_kb":        {`"value_kb":8`, `"value_kb":8,"next":{"value_kb":1}`},
 		"facts.cloud.rps":       {`"cloud":{"rps":7`, `"cloud":{"rps":0`},
 	} {
 		broken := strings.Replace(valid, change[0], change[1], 1)
@@ -66,3 +68,30 @@
 		t.Error("a file that is not there")
 	}
 }
+
+// Limits that are announced hold from the start, the lower of each; what is not announced
+// stays. More controllers need more conditions when the level changes.
+func TestLimitsToCome(t *testing.T) {
+	with := func(next string) string {
+		return strings.Replace(valid, `"txn_ops":24`, `"txn_ops":24,"next":`+next, 1)
+	}
+	for next, want := range map[string]State{
+		`{"write_rps":42,"value_kb":2,"txn_ops":8}`:  {RPS: 180, WriteRPS: 42, ValueBytes: 2048, TxnOps: 8},
+		`{"write_rps":99,"value_kb":16,"txn_ops":8}`: {RPS: 180, WriteRPS: 70, ValueBytes: 8192, TxnOps: 8},
+		`{"rps":100}`: {RPS: 100, WriteRPS: 70, ValueBytes: 8192, TxnOps: 24},
+		`{}`:          {RPS: 180, WriteRPS: 70, ValueBytes: 8192, TxnOps: 24},
+	} {
+		s, err := Parse([]byte(with(next)))
+		if err != nil || s.State != want {
+			t.Errorf("%s: %+v %v", next, s, err)
+		}
+	}
+	many := `"peers":[{"host_name":"host-1","area":"b","address":"10.0.0.2:8081"}`
+	for k := range 20 {
+		many += fmt.Sprintf(`,{"host_name":"more-%d","area":"b","address":"10.0.1.%d:8081"}`, k, k)
+	}
+	crowd := strings.Replace(with(`{"txn_ops":6}`), `"peers":[{"host_name":"host-1","area":"b","address":"10.0.0.2:8081"}`, many, 1)
+	if _, err := Parse([]byte(crowd)); err == nil || !strings.Contains(err.Error(), "at least 7") {
+		t.Error(err)
+	}
+}
--- a/ended/ended_test.go
+++ b/ended/ended_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -17,7 +19,8 @@
 // Every record reads as what it was, in both forms, and the new form is the smaller.
 func TestForms(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := ended.Record{Status: rapid.SampledFrom([]string{job.Done, job.Cancelled}).Draw(t, "status"), Tasks: rapid.IntRange(1, job.MaxTasks).Draw(t, "tasks")}
+		r := ended.Record{Status: rapid.SampledFrom([]string{job.Done, job.Cancelled}).Draw(t, "status"), Tasks: rapid.IntRange(1, job.MaxTasks).Draw(t, "tasks"),
+			AtMS: rapid.SampledFrom([]int64{0, 1, 1764633600000}).Draw(t, "at")}
 		sizes := []int{}
 		for _, op := range ended.Ops("wk-7", r, ended.Both) {
 			raw, err := json.Marshal(op.Value)
@@ -105,3 +108,72 @@
 		t.Errorf("a life that is over said of a job that it is unknown: %v", err)
 	}
 }
+
+// The version in production reads a record that tells when the job ended: it takes the
+// first three entries of the list, and the fields that it knows.
+func TestProductionReadsTheTime(t *testing.T) {
+	ops := ended.Ops("wk-7", ended.Record{Status: job.Done, Tasks: 5, AtMS: 1764633600000}, ended.Both)
+	var was struct {
+		Status string `json:"status"`
+		Tasks  int    `json:"tasks"`
+	}
+	raw, _ := json.Marshal(ops[0].Value)
+	if err := json.Unmarshal(raw, &was); err != nil || was.Status != job.Done || was.Tasks != 5 {
+		t.Error(string(raw), err)
+	}
+	var list []json.RawMessage
+	raw, _ = json.Marshal(ops[1].Value)
+	if err := json.Unmarshal(raw, &list); err != nil || len(list) < 3 || string(list[0]) != "1" || string(list[1]) != `"d"` || string(list[2]) != "5" {
+		t.Error(string(raw), err)
+	}
+}
+
+// What one transaction could not remove, or whose writer died before, is swept by the
+// steward, within the limits; what belongs to an open job stays.
+func TestSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		state := fakes.NewState()
+		put := func(ops ...statekv.Op) {
+			if _, err := state.Txn(ctx, nil, ops); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, id := range []string{"wk-1", "wk-2", "wk-3"} {
+			for _, key := range job.Extras(id, job.MaxTasks, 5) {
+				put(statekv.Op{Set: key, Value: "x"})
+			}
+		}
+		put(statekv.Op{Set: job.OpenKey("wk-2"), Value: 1})
+		state.Limit(2048, 8)
+		mirror := statekv.NewMirror(state, []string{statekv.FleetPrefix, job.OpenPrefix}, statekv.RootPrefix, time.Second, 0, func([]statekv.Event) {})
+		if err := mirror.Load(ctx); err != nil {
+			t.Fatal(err)
+		}
+		member, err := statekv.Join(ctx, state, mirror, "host-0", 4*time.Second, statekv.Registration{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		go mirror.Run(ctx)
+		steward := uint64(0)
+		s := &ended.Sweeper{Store: state, Mirror: mirror, Member: member, Steward: func() uint64 { return steward }, Ops: 8, Every: time.Minute}
+		go s.Run(ctx)
+		left := func() int { return len(state.Dir(job.PartPrefix)) + len(state.Dir(job.PiecePrefix)) }
+		all := left()
+		time.Sleep(3 * time.Minute)
+		if left() != all {
+			t.Fatal("it swept although it is not steward")
+		}
+		steward = 1
+		time.Sleep(3 * time.Minute)
+		if left() != all/3 || len(state.Over()) > 0 {
+			t.Fatalf("%d of %d left, %v", left(), all, state.Over())
+		}
+		put(statekv.Op{Delete: job.OpenKey("wk-2")})
+		time.Sleep(2 * time.Minute)
+		if left() != 0 {
+			t.Fatal(left())
+		}
+	})
+}
--- a/ended/sweep.go
+++ b/ended/sweep.go
@@ -19,6 +19,7 @@
 		Store
 		List(ctx context.Context, prefix, after string) (statekv.Page, error)
 		Room(kind statekv.Kind, n int) bool
+		Most(ops int) int
 	}
 	Mirror  *statekv.Mirror
 	Member  *statekv.Member
@@ -70,7 +71,7 @@
 				}
 				then = append(then, statekv.Op{Delete: kv.Key})
 			}
-			if len(then) == s.Ops || k == len(page.Items)-1 && len(then) > 0 {
+			if len(then) >= s.Store.Most(s.Ops) || k == len(page.Items)-1 && len(then) > 0 {
 				if !s.Store.Room(statekv.Chores, len(then)) {
 					return nil // the next look goes on
 				}
--- a/fakes/state.go
+++ b/fakes/state.go
@@ -31,6 +31,9 @@
 	Down, LoseAnswers bool
 
 	slow    time.Duration // how long a transaction takes
+	value   int           // bytes of a value, 0: any
+	ops     int           // changes of a transaction, 0: any number
+	over    []string      // what broke these limits
 	changes int
 }
 
@@ -41,6 +44,36 @@
 	return s.changes
 }
 
+// Limit sets how large a value and how many changes a transaction may be from now on.
+// What is larger is refused.
+func (s *State) Limit(value, ops int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.value, s.ops = value, ops
+}
+
+// Over lists what broke the limits.
+func (s *State) Over() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.over
+}
+
+// fits checks a transaction against the limits.
+func (s *State) fits(when []statekv.Cond, then []statekv.Op) bool {
+	if s.ops > 0 && (len(then) > s.ops || len(when) > 4*s.ops) {
+		s.over = append(s.over, fmt.Sprintf("%d changes under %d conditions", len(then), len(when)))
+		return false
+	}
+	for _, op := range then {
+		if raw, _ := json.Marshal(op.Value); op.Set != "" && s.value > 0 && len(raw) > s.value {
+			s.over = append(s.over, fmt.Sprintf("%s has %d bytes", op.Set, len(raw)))
+			return false
+		}
+	}
+	return true
+}
+
 // NewState returns an empty store.
 func NewState() *State {
 	return &State{rev: 1, keys: map[string]statekv.KV{}, leased: map[string]uint64{}, leases: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{}, changed: make(chan struct{})}
@@ -117,6 +150,9 @@
 	if s.Down {
 		return 0, statekv.ErrRefused
 	}
+	if !s.fits(when, then) {
+		return 0, statekv.ErrTooLarge
+	}
 	var failed []string
 	for _, c := range when {
 		if s.keys[c.Key].Rev != c.Rev {
@@ -239,5 +275,8 @@
 	return out
 }
 
+// Most says that a transaction may have as many changes as the settings say.
+func (s *State) Most(ops int) int { return ops }
+
 // Room says that changes may always be made.
 func (s *State) Room(statekv.Kind, int) bool { return true }
--- a/fakes/stateserver.go
+++ b/fakes/stateserver.go
@@ -107,6 +107,8 @@
 	switch {
 	case errors.As(err, &conflict):
 		answer(w, http.StatusConflict, map[string]any{"failed": conflict.Failed, "ledger_rev": s.revision()})
+	case errors.Is(err, statekv.ErrTooLarge):
+		answer(w, http.StatusBadRequest, map[string]string{"error": "too large"})
 	case err != nil:
 		answer(w, http.StatusServiceUnavailable, nil)
 	default:
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"reflect"
 	"strings"
 	"testing"
@@ -31,6 +32,12 @@
 		{`"rank":"high"`, `"rank":null`, "rank"},
 		{`"owner":"vision"`, `"owner":""`, "owner"},
 		{`{"id"`, `[{"id"`, "object"},
+		{`"new_field":1`, `"waits_on":"wk-1"`, "waits_on"},
+		{`"new_field":1`, `"waits_on":[1]`, "waits_on"},
+		{`"new_field":1`, `"waits_on":["job-1"]`, "waits_on"},
+		{`"new_field":1`, `"waits_on":["wk-1",null]`, "waits_on"},
+		{`"new_field":1`, `"waits_on":{"wk-1":1}`, "waits_on"},
+		{`"new_field":1`, `"waits_on":[` + names(MostWaitsOn+1) + `]`, "waits_on"},
 	} {
 		if _, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1))); err == nil || !strings.Contains(err.Error(), c.field) {
 			t.Errorf("%s: error %v does not name %s", c.new, err, c.field)
@@ -38,6 +45,114 @@
 	}
 }
 
+// names lists so many ids, as JSON.
+func names(n int) string {
+	var out []string
+	for k := range n {
+		out = append(out, fmt.Sprintf(`"wk-%018d"`, k*7919))
+	}
+	return strings.Join(out, ",")
+}
+
+// A submission that names no others is as it was; names that are given twice count once;
+// hundreds of the longest fit a submission.
+func TestNamesOfJobsToWaitFor(t *testing.T) {
+	for with, n := range map[string]int{`"x":1`: 0, `"waits_on":null`: 0, `"waits_on":[]`: 0, `"waits_on":["wk-1","wk-2","wk-1"]`: 2, `"waits_on":[` + names(MostWaitsOn) + `]`: MostWaitsOn} {
+		body := strings.Replace(good, `"new_field":1`, with, 1)
+		s, err := Parse([]byte(body))
+		if err != nil || len(s.WaitsOn) != n || len(body) > 64<<10 {
+			t.Errorf("%.40s: %v, %d bytes", with, err, len(body))
+			continue
+		}
+		if raw, _ := json.Marshal(Record{Spec: *s}); n == 0 && strings.Contains(string(raw), "waits_on") {
+			t.Errorf("%.40s: its record is not as it was: %s", with, raw)
+		}
+	}
+	s, err := Parse([]byte(strings.Replace(good, `"new_field":1`, `"waits_on":["wk-000412"]`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := s.NeverRuns(nil, nil); !strings.Contains(r, "waits for itself") {
+		t.Error(r)
+	}
+}
+
+// A record that is too large for one value is kept in pieces, and what is read back is
+// what was written, a later version's fields too; while it grows it stays within the
+// limit.
+func TestRecordsInPieces(t *testing.T) {
+	const limit, ops = 2048, 8
+	s, err := Parse([]byte(strings.Replace(good, `"new_field":1`, `"waits_on":[`+names(500)+`]`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Tasks = MaxTasks
+	rec := Record{Spec: *s, Slot: "host-0.1", Submitted: 1, SpecRest: statekv.Rest{"colour": json.RawMessage(`"blue"`)}}
+	if !rec.Large(limit) {
+		t.Fatal("it is not large")
+	}
+	pieces, err := rec.Split(limit, ops-1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := NewSet(MaxTasks)
+	for k := range MaxTasks {
+		done.Add(k)
+	}
+	rec.Done = done.Chunk(0)
+	raw, err := json.Marshal(rec)
+	if err != nil || len(raw) > limit || len(pieces) >= ops {
+		t.Fatalf("%d bytes, %d pieces: %v", len(raw), len(pieces), err)
+	}
+	kept := map[string]json.RawMessage{}
+	for _, op := range pieces {
+		v, _ := json.Marshal(op.Value)
+		if kept[op.Set] = v; len(v) > limit {
+			t.Errorf("%s: %d bytes", op.Set, len(v))
+		}
+	}
+	get := func(key string) (statekv.KV, bool) { v, ok := kept[key]; return statekv.KV{Key: key, Value: v}, ok }
+	back, err := ParseRecord(raw)
+	if err == nil {
+		err = back.Join(get)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if back.Keep(raw); !reflect.DeepEqual(back.Spec, *s) || string(back.SpecRest["colour"]) != `"blue"` || back.Rest != nil {
+		t.Errorf("%.300s", back.SpecRest)
+	}
+	if again, _ := json.Marshal(back); string(again) != string(raw) {
+		t.Errorf("written again it is another:\n%.200s\n%.200s", raw, again)
+	}
+	if got := len(Extras(s.ID, s.Tasks, back.Pieces)); got != len(pieces)+Chunks(MaxTasks)-1 {
+		t.Error(got)
+	}
+	// A piece that is missing, damaged or another job's: named, and nothing is made of it.
+	first := PieceKey(s.ID, 0)
+	for what, v := range map[string]json.RawMessage{"missing": nil, "no text": json.RawMessage(`1`), "damaged": json.RawMessage(`"AAAA"`)} {
+		was := kept[first]
+		if kept[first] = v; v == nil {
+			delete(kept, first)
+		}
+		bad, _ := ParseRecord(raw)
+		if err := bad.Join(get); err == nil {
+			t.Errorf("%s: joined", what)
+		}
+		kept[first] = was
+	}
+	// What does not fit at all is refused.
+	if _, err := (&Record{Spec: *s}).Split(limit, 1); !errors.Is(err, ErrTooLarge) {
+		t.Error(err)
+	}
+	// An ordinary record fits as it is, however many tasks it has.
+	plain, _ := Parse([]byte(good))
+	plain.Tasks = MaxTasks
+	if (Record{Spec: *plain, Slot: "host-0.123456", Submitted: 1764633600000}).Large(limit) {
+		t.Error("an ordinary job is large")
+	}
+}
+
 func TestWhatCanNeverRun(t *testing.T) {
 	types := map[string]cloud.MachineType{"g8": {Name: "g8", CPUs: 96, GPUs: 8, MemoryGB: 768, Zones: []string{"a"}}}
 	teams := map[string]config.Team{"vision": {Name: "vision", GPUsMax: 8}}
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -323,7 +323,7 @@
 	var when []statekv.Cond
 	var then []statekv.Op
 	for id, s := range p.slots {
-		if s.settled && !used[id] && len(then) < min(maxFlushes, p.settings.State.TxnOps) {
+		if s.settled && !used[id] && len(then) < p.store.Most(min(maxFlushes, p.settings.State.TxnOps)) {
 			ids = append(ids, id)
 			when = append(when, statekv.Cond{Key: statekv.SlotPrefix + id, Rev: s.epoch})
 			then = append(then, statekv.Op{Delete: statekv.SlotPrefix + id})
--- a/rollout/move.go
+++ b/rollout/move.go
@@ -165,9 +165,10 @@
 	}
 	items := list.Items
 	for len(items) > 0 {
-		n := min(len(items), m.txnOps-1)
+		most := m.store.Most(m.txnOps)
+		n := min(len(items), max(1, most-1))
 		if at.Name == MoveDrop {
-			n = min(n, (m.txnOps-1)/2) // two changes each at most
+			n = min(n, max(1, (most-1)/2)) // two changes each at most
 		}
 		if err := m.batch(ctx, &at, items[:n], others); err != nil {
 			return true, err
--- a/statekv/client.go
+++ b/statekv/client.go
@@ -10,6 +10,8 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -25,6 +27,9 @@
 	ErrRefused = errors.New("refused by the state service")
 	// ErrUnknown: no answer; the request may be carried out now, later or never.
 	ErrUnknown = errors.New("outcome unknown")
+	// ErrTooLarge: a transaction was refused as malformed: it, or a value in it, is larger
+	// than the service takes now. It is an ErrRefused too.
+	ErrTooLarge = fmt.Errorf("%w: too large", ErrRefused)
 	// ErrCompacted: the watch's starting point is too old.
 	ErrCompacted = errors.New("watch too old")
 )
@@ -106,6 +111,10 @@
 	// and counts them if so: submissions, cancellations and ends of jobs must
 	// not queue behind hundreds of machines.
 	Room(kind Kind, n int) bool
+
+	// Most is how many changes a transaction may have, given how many the settings say:
+	// fewer, if the service has refused as many as too large.
+	Most(ops int) int
 }
 
 // Kind is a kind of change that can wait.
@@ -133,6 +142,31 @@
 	kinds  [len(shares)]*rate.Limiter
 
 	requests, changes float64 // per second, for all controllers together
+
+	most atomic.Int64 // changes of a transaction that the service was seen to take; 0: any
+}
+
+// refusedLarge takes note of a transaction of n changes that was too large: limits can be
+// lowered without notice. Who writes many at once splits them and goes on.
+func (c *Client) refusedLarge(n int) {
+	slog.Warn("the state service takes no transaction as large", "changes", n)
+	c.most.Store(int64(max(1, n/2)))
+}
+
+// took lets transactions grow again, by one at a time: what was too large may have been
+// a value.
+func (c *Client) took(n int) {
+	if most := c.most.Load(); most > 0 && int64(n) >= most {
+		c.most.CompareAndSwap(most, int64(n)+1)
+	}
+}
+
+// Most is how many changes a transaction may have.
+func (c *Client) Most(ops int) int {
+	if most := c.most.Load(); most > 0 {
+		return min(ops, int(most))
+	}
+	return ops
 }
 
 // NewClient returns a client that, with its like on the other controllers, uses
@@ -186,7 +220,15 @@
 		return r, ErrNotFound
 	case http.StatusGone:
 		return r, ErrCompacted
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadRequest:
+	case http.StatusBadRequest:
+		var why struct {
+			Error string `json:"error"`
+		}
+		if path == "/txn" && (r.Decode(&why) != nil || !strings.Contains(why.Error, "lease")) {
+			return r, fmt.Errorf("%w: %s", ErrTooLarge, why.Error)
+		}
+		return r, fmt.Errorf("%w: %s %s: %s", ErrRefused, method, path, why.Error)
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		slog.Debug("state service refused", "method", method, "path", path, "status", r.Status)
 		return r, fmt.Errorf("%w: %s %s: status %d", ErrRefused, method, path, r.Status)
 	}
@@ -270,9 +312,13 @@
 		}
 	}
 	r, err := c.send(ctx, http.MethodPost, "/txn", txnRequest{When: when, Then: then}, 0)
+	if errors.Is(err, ErrTooLarge) && len(then) > 1 {
+		c.refusedLarge(len(then))
+	}
 	if err != nil {
 		return 0, err
 	}
+	c.took(len(then))
 	var out struct {
 		Rev    uint64   `json:"ledger_rev"`
 		Failed []string `json:"failed"`
--- a/statekv/member.go
+++ b/statekv/member.go
@@ -257,7 +257,7 @@
 func (m *Member) TakeAll(ctx context.Context, roles []Role, most int) (map[string]uint64, error) {
 	taken := map[string]uint64{}
 	for len(roles) > 0 {
-		group := roles[:min(most, len(roles))]
+		group := roles[:min(m.store.Most(most), len(roles))]
 		roles = roles[len(group):]
 		for len(group) > 0 {
 			var when []Cond
@@ -277,6 +277,10 @@
 				}
 				break
 			}
+			if errors.Is(err, ErrTooLarge) && len(group) > 1 {
+				roles = append(slices.Clone(group), roles...) // in smaller groups
+				break
+			}
 			var conflict *Conflict
 			if !errors.As(err, &conflict) {
 				return taken, fmt.Errorf("taking %d roles: %w", len(group), err)
