Placer: a job that nobody needs any more has its own rank again; stories

Cause: when the last job of a pipeline was cancelled, those before it kept its rank and due time. Found by a story; so was a repeated submission that got 503 while pipelines go off.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -366,6 +366,9 @@
 		// may live while such a record exists.
 		level, unchanged := l.Levels.Now()
 		if !level.Takes(rollout.Pipelines) {
+			if _, open := l.Mirror.Get(job.OpenKey(spec.ID)); open {
+				return g.known(c, ctx, spec.ID)
+			}
 			return later(c, "not all controllers know jobs that wait for others yet")
 		}
 		when = append(when, unchanged)
@@ -393,9 +396,14 @@
 	}
 	// A conflict means that the job is known, or that this controller's role
 	// has ended; without an answer the job may have been written.
-	s, err := g.lookup(ctx, spec.ID)
+	return g.known(c, ctx, spec.ID)
+}
+
+// known answers a submission of a job that is known already.
+func (g *Gateway) known(c *fiber.Ctx, ctx context.Context, id string) error {
+	s, err := g.lookup(ctx, id)
 	if err != nil {
-		slog.Debug("submission undecided", "job", spec.ID, "err", err)
+		slog.Debug("submission undecided", "job", id, "err", err)
 		return later(c, "undecided")
 	}
 	return c.JSON(s)
@@ -472,7 +480,7 @@
 		f := ended.Record{Status: job.Cancelled, Tasks: rec.Spec.Tasks}
 		level, unchanged := l.Levels.Now()
 		then := append([]statekv.Op{{Delete: job.OpenKey(id)}}, ended.Ops(id, f, level.Writes())...)
-		then = append(then, job.DropExtras(id, rec.Spec.Tasks, rec.Pieces, g.settings.State.TxnOps-len(then))...)
+		then = append(then, job.DropExtras(id, rec.Spec.Tasks, rec.Pieces, g.store.Most(g.settings.State.TxnOps)-len(then))...)
 		_, err = l.Member.Write(ctx, []statekv.Cond{{Key: job.OpenKey(id), Rev: kv.Rev}, unchanged}, then)
 		if err == nil {
 			return answer(f)
--- /dev/null
+++ b/gateway/pipelines_test.go
@@ -0,0 +1,278 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/cloud"
+	"robinstack/config"
+	"robinstack/ended"
+	"robinstack/fakes"
+	"robinstack/job"
+	"robinstack/pipeline"
+	"robinstack/placer"
+	"robinstack/policy"
+	"robinstack/rollout"
+	"robinstack/serving"
+	"robinstack/statekv"
+)
+
+// door is a gateway with a life to serve: a placer without machines.
+type door struct {
+	t     *testing.T
+	ctx   context.Context
+	state *fakes.State
+	g     *Gateway
+	life  *Life
+}
+
+type alone struct{}
+
+func (alone) Call(context.Context, string, string, any, any) error {
+	return fmt.Errorf("there are no others")
+}
+
+func open(t *testing.T, tell func(d *door)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); time.Sleep(10 * time.Second); synctest.Wait() }()
+		settings := &config.Settings{Host: "host-0", Teams: map[string]config.Team{"t": {Name: "t"}}, Zones: []string{"a"},
+			Workers: config.Workers{Report: 3 * time.Second, Lease: 30 * time.Second, CancelGone: 60 * time.Second},
+			State:   config.State{RPS: 100, WriteRPS: 50, ValueBytes: 2048, TxnOps: 8}}
+		catalogue := &cloud.Catalogue{}
+		catalogue.Set([]cloud.MachineType{{Name: "box", CPUs: 8, GPUs: 2, MemoryGB: 64, Zones: []string{"a"}}})
+		state := fakes.NewState()
+		state.Limit(2048, 8)
+		d := &door{t: t, ctx: ctx, state: state, g: New(settings, state, catalogue, func() (int, time.Duration) { return 0, 0 })}
+		l := &Life{Call: alone{}, Clock: serving.NewClock(time.Now())}
+		l.Mirror = statekv.NewMirror(state, []string{statekv.FleetPrefix, job.OpenPrefix, job.PiecePrefix}, statekv.RootPrefix, time.Second, 0, func(events []statekv.Event) {
+			for _, e := range events {
+				l.Placer.OnJobEvent(e)
+				d.g.OnEnded(e.Set, e.Value)
+			}
+		})
+		l.Pipes = pipeline.NewTracker(l.Mirror, func(*job.Spec) time.Duration { return time.Second }, d.g.Final)
+		l.Mirror.First = l.Pipes.OnEvents
+		if err := l.Mirror.Load(ctx); err != nil {
+			t.Fatal(err)
+		}
+		var err error
+		if l.Member, err = statekv.Join(ctx, state, l.Mirror, "host-0", 4*time.Second, statekv.Registration{}); err != nil {
+			t.Fatal(err)
+		}
+		l.Levels = rollout.NewReader(l.Mirror)
+		l.Placer = placer.New(settings, policy.Default(), state, l.Mirror, l.Member, alone{}, catalogue.Types, l.Pipes)
+		feed := agent.NewFeed(alone{}, l.Mirror, []string{"host-0"}, l.Placer.Epoch, l.Placer.OnEntries)
+		go l.Mirror.Run(ctx)
+		go func() { _ = l.Member.Keep(ctx) }()
+		go l.Placer.Run(ctx, feed)
+		go l.Pipes.Run(ctx, d.g.ReadEnded)
+		d.g.SetLife(l)
+		d.life = l
+		time.Sleep(2 * time.Second)
+		tell(d)
+	})
+}
+
+func (d *door) ask(method, path, body string) (code int, answer map[string]any, again string) {
+	d.t.Helper()
+	req := httptest.NewRequest(method, path, strings.NewReader(body))
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := d.g.app.Test(req, -1)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil || json.Unmarshal(raw, &answer) != nil {
+		d.t.Fatalf("%s %s: %s %v", method, path, raw, err)
+	}
+	return resp.StatusCode, answer, resp.Header.Get("Retry-After")
+}
+
+// submit sends a job that waits for others and asserts the answer.
+func (d *door) submit(code int, id string, names ...string) map[string]any {
+	d.t.Helper()
+	list, _ := json.Marshal(names)
+	got, answer, again := d.ask("POST", "/submissions", fmt.Sprintf(`{"id":%q,"job_class":"c","owner":"t","shape":"sweep","rank":"normal","pieces":1,"cpus":1,"gpus":0,"mem_gb":1,"bundle":"i","pull_gb":1,"host_kinds":null,"site":null,"one_zone":false,"spread":false,"loaners":true,"guess_s":5,"snapshot_every_s":0,"snapshot_s":0,"due_s":null,"waits_on":%s}`, id, list))
+	if got != code || (code == 503) != (again != "") {
+		d.t.Fatalf("%s after %.60s: %d %v, Retry-After %q", id, list, got, answer, again)
+	}
+	return answer
+}
+
+// is asserts what a user who asks is told.
+func (d *door) is(id, status string) {
+	d.t.Helper()
+	if code, answer, _ := d.ask("GET", "/submissions/"+id, ""); code != 200 || answer["status"] != status {
+		d.t.Fatalf("%s: %d %v, not %s", id, code, answer, status)
+	}
+}
+
+func (d *door) put(ops ...statekv.Op) {
+	d.t.Helper()
+	if _, err := d.state.Txn(d.ctx, nil, ops); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// upgraded lets jobs wait for others.
+func (d *door) upgraded() {
+	d.put(statekv.Op{Set: statekv.LevelKey, Value: rollout.Level{Form: 1, N: 2, Features: []rollout.Feature{rollout.Gated, rollout.Pipelines}}})
+	time.Sleep(time.Second)
+}
+
+// Before all controllers know of it nobody is taken who waits for others, and the answer
+// comes at once; those who do not are taken as ever, with an empty list too.
+func TestNotBeforeAllKnowIt(t *testing.T) {
+	open(t, func(d *door) {
+		d.submit(201, "wk-1")
+		d.submit(503, "wk-2", "wk-1")
+		d.upgraded()
+		d.submit(201, "wk-2", "wk-1")
+		d.is("wk-2", job.Queued)
+		// A person has asked for the way back: who waits is not taken any more.
+		d.put(statekv.Op{Set: statekv.LevelKey, Value: rollout.Level{Form: 1, N: 2, Features: []rollout.Feature{rollout.Gated, rollout.Pipelines}, Ends: rollout.Pipelines}})
+		time.Sleep(time.Second)
+		d.submit(503, "wk-3", "wk-1")
+		d.submit(200, "wk-2", "wk-1")
+	})
+}
+
+// A name that was never accepted is refused, only when that is certain; any that was is
+// taken, whatever has become of it, whoever accepted it and in whichever form.
+func TestNamesMustHaveBeenAccepted(t *testing.T) {
+	open(t, func(d *door) {
+		d.upgraded()
+		d.submit(201, "wk-1")
+		d.submit(422, "wk-2", "wk-2")
+		d.submit(422, "wk-2", "wk-1", "wk-404")
+		if code, _, _ := d.ask("GET", "/submissions/wk-2", ""); code != 404 {
+			t.Fatal("a job that was refused is known")
+		}
+		// Another controller has accepted it a moment ago; it ended long ago, in three forms.
+		d.state.Delay(0)
+		d.put(statekv.Op{Set: job.OpenKey("wk-11"), Value: job.Record{Spec: job.Spec{ID: "wk-11", Tasks: 1}, Slot: "host-9.1"}})
+		d.put(statekv.Op{Set: ended.FormerKey("wk-12"), Value: map[string]any{"status": "done", "tasks": 1}})
+		d.put(ended.Ops("wk-13", ended.Record{Status: job.Done, Tasks: 1}, ended.Compact)...)
+		d.put(ended.Ops("wk-14", ended.Record{Status: job.Done, Tasks: 1}, ended.Both)...)
+		d.submit(201, "wk-3", "wk-11", "wk-12", "wk-13", "wk-14", "wk-1", "wk-1")
+		d.put(statekv.Op{Set: job.OpenKey("wk-15"), Value: job.Record{Spec: job.Spec{ID: "wk-15", Tasks: 1, Shape: job.Service}, Slot: "host-9.1"}})
+		time.Sleep(time.Second)
+		if answer := d.submit(422, "wk-4", "wk-15"); !strings.Contains(fmt.Sprint(answer["error"]), "service") {
+			t.Error(answer)
+		}
+		// In doubt it is neither taken nor refused.
+		d.state.Set(true, false)
+		d.submit(503, "wk-5", "wk-404")
+		d.submit(503, "wk-5", "wk-1")
+		d.state.Set(false, false)
+		// Hundreds of names, in pieces; and one among them that nobody submitted.
+		var many []string
+		for k := range 400 {
+			many = append(many, fmt.Sprintf("wk-9%05d", k*211%100000))
+			d.put(ended.Ops(many[k], ended.Record{Status: job.Done, Tasks: 1}, []ended.Writing{ended.Former, ended.Compact}[k%2])...)
+		}
+		d.submit(201, "wk-6", many...)
+		d.submit(200, "wk-6", many...)
+		d.submit(422, "wk-7", append(many, "wk-404")...)
+		if over := d.state.Over(); len(over) > 0 {
+			t.Error(over)
+		}
+	})
+}
+
+// A repeated submission gets 200 with the state of then, whatever those before it are;
+// what was accepted first stands.
+func TestRepeatedSubmissions(t *testing.T) {
+	open(t, func(d *door) {
+		d.upgraded()
+		d.submit(201, "wk-1")
+		d.submit(201, "wk-2", "wk-1")
+		if a := d.submit(200, "wk-2", "wk-1"); a["status"] != job.Queued {
+			t.Fatal(a)
+		}
+		d.submit(200, "wk-2") // it waits all the same
+		d.is("wk-2", job.Queued)
+		d.state.Set(false, true) // its answer is lost, and its user tries again
+		d.submit(200, "wk-3", "wk-2")
+		d.state.Set(false, false)
+		d.ask("POST", "/submissions/wk-1/abort", "")
+		if a := d.submit(200, "wk-3", "wk-2"); a["status"] != job.Cancelled {
+			t.Fatal(a)
+		}
+		if a := d.submit(201, "wk-4", "wk-3"); a["status"] != job.Queued {
+			t.Fatal(a)
+		}
+		d.is("wk-4", job.Cancelled)
+	})
+}
+
+// From the moment at which a user was told of a cancellation nobody is told that a job
+// after it is queued, however long the chain, though nothing can be written; and an end
+// in the same moment: one of both, and the chain goes by that one.
+func TestAnswersAfterACancellation(t *testing.T) {
+	open(t, func(d *door) {
+		d.upgraded()
+		d.submit(201, "wk-1")
+		for k := 2; k <= 300; k++ {
+			d.submit(201, fmt.Sprintf("wk-%d", k), fmt.Sprintf("wk-%d", k-1))
+		}
+		d.is("wk-300", job.Queued)
+		if code, answer, _ := d.ask("POST", "/submissions/wk-1/abort", ""); code != 200 || answer["status"] != job.Cancelled {
+			t.Fatal(code, answer)
+		}
+		d.state.Delay(time.Hour) // no write comes through from now on
+		for k := 300; k > 0; k-- {
+			d.is(fmt.Sprintf("wk-%d", k), job.Cancelled)
+		}
+	})
+	open(t, func(d *door) {
+		d.upgraded()
+		d.submit(201, "wk-1")
+		d.submit(201, "wk-2", "wk-1")
+		// Its placer's record comes first.
+		kv, _ := d.state.Get(d.ctx, job.OpenKey("wk-1"))
+		if _, err := d.state.Txn(d.ctx, []statekv.Cond{{Key: kv.Key, Rev: kv.Rev}}, append(ended.Ops("wk-1", ended.Record{Status: job.Done, Tasks: 1}, ended.Former), statekv.Op{Delete: kv.Key})); err != nil {
+			t.Fatal(err)
+		}
+		if code, answer, _ := d.ask("POST", "/submissions/wk-1/abort", ""); code != 200 || answer["status"] != job.Done {
+			t.Fatal(code, answer)
+		}
+		d.is("wk-2", job.Queued)
+	})
+}
+
+// A later life has to read what came before it: until then it answers nothing that may
+// be too old, and then the truth.
+func TestNobodyIsToldAnOlderAnswer(t *testing.T) {
+	open(t, func(d *door) {
+		d.upgraded()
+		d.put(ended.Ops("wk-1", ended.Record{Status: job.Cancelled, Tasks: 1}, ended.Former)...)
+		for id, needs := range map[string]string{"wk-2": "wk-1", "wk-3": "wk-2"} { // another controller's
+			d.put(statekv.Op{Set: job.OpenKey(id), Value: job.Record{Spec: job.Spec{ID: id, Tasks: 1, WaitsOn: []string{needs}}, Slot: "host-9.1"}})
+		}
+		time.Sleep(time.Second)
+		d.g.finals = map[string]ended.Record{}
+		fresh := pipeline.NewTracker(d.life.Mirror, func(*job.Spec) time.Duration { return 0 }, d.g.Final)
+		fresh.OnEvents(nil)
+		l := *d.life
+		l.Pipes = fresh
+		d.g.SetLife(&l)
+		if code, answer, again := d.ask("GET", "/submissions/wk-3", ""); code == 200 && answer["status"] == job.Queued || code != 200 && again == "" {
+			t.Fatal(code, answer)
+		}
+		go fresh.Run(d.ctx, d.g.ReadEnded)
+		time.Sleep(time.Second)
+		d.is("wk-3", job.Cancelled)
+		d.is("wk-2", job.Cancelled)
+	})
+}
--- /dev/null
+++ b/pipeline/tracker_test.go
@@ -0,0 +1,224 @@
+package pipeline_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"robinstack/ended"
+	"robinstack/fakes"
+	"robinstack/job"
+	"robinstack/pipeline"
+	"robinstack/statekv"
+)
+
+// world is a tracker beside a mirror of a state service.
+type world struct {
+	t     *testing.T
+	ctx   context.Context
+	state *fakes.State
+	keys  *statekv.Mirror
+	pipes *pipeline.Tracker
+	known map[string]ended.Record
+	reads int
+}
+
+func story(t *testing.T, tell func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		tell(&world{t: t, ctx: ctx, state: fakes.NewState(), known: map[string]ended.Record{}})
+	})
+}
+
+// begin starts the tracker, as a life does.
+func (w *world) begin() {
+	w.t.Helper()
+	w.keys = statekv.NewMirror(w.state, []string{job.OpenPrefix, job.PiecePrefix}, statekv.RootPrefix, time.Second, 0, func([]statekv.Event) {})
+	w.pipes = pipeline.NewTracker(w.keys, func(*job.Spec) time.Duration { return 10 * time.Second }, func(id string) (ended.Record, bool) {
+		r, ok := w.known[id]
+		return r, ok
+	})
+	w.keys.First = w.pipes.OnEvents
+	if err := w.keys.Load(w.ctx); err != nil {
+		w.t.Fatal(err)
+	}
+	go w.keys.Run(w.ctx)
+	go w.pipes.Run(w.ctx, func(ctx context.Context, id string) (ended.Record, error) {
+		w.reads++
+		return ended.Read(ctx, w.state, nil, id)
+	})
+}
+
+func (w *world) write(ops ...statekv.Op) {
+	w.t.Helper()
+	rev, err := w.state.Txn(w.ctx, nil, ops)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if w.keys != nil {
+		if err := w.keys.Wait(w.ctx, rev); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+}
+
+func record(id string, needs ...string) job.Record {
+	return job.Record{Spec: job.Spec{ID: id, Tasks: 1, Rank: "normal", WaitsOn: needs}, Submitted: time.Now().UnixMilli()}
+}
+
+func (w *world) open(id string, needs ...string) {
+	w.t.Helper()
+	w.write(statekv.Op{Set: job.OpenKey(id), Value: record(id, needs...)})
+}
+
+func (w *world) end(id, status string, form ended.Writing) {
+	w.t.Helper()
+	w.write(append(ended.Ops(id, ended.Record{Status: status, Tasks: 1, AtMS: time.Now().UnixMilli()}, form), statekv.Op{Delete: job.OpenKey(id)})...)
+}
+
+func (w *world) is(id string, state pipeline.State) pipeline.Verdict {
+	w.t.Helper()
+	v, ok := w.pipes.Judge(id)
+	if !ok || v.State != state {
+		w.t.Fatalf("%s: %v %+v", id, ok, v)
+	}
+	return v
+}
+
+// Whoever waits until the mirror shows a revision finds the verdict that goes with it:
+// a controller that told its user of a cancellation, and one that is asked afterwards,
+// cannot disagree. Guards against a tracker that hears of changes after the mirror has
+// said that it shows them.
+func TestVerdictIsAsNewAsTheMirror(t *testing.T) {
+	story(t, func(w *world) {
+		w.begin()
+		w.open("wk-1")
+		w.open("wk-2", "wk-1")
+		w.open("wk-3", "wk-2")
+		w.is("wk-3", pipeline.Waiting)
+		w.end("wk-1", job.Cancelled, ended.Compact)
+		w.is("wk-2", pipeline.Withdrawn)
+		w.is("wk-3", pipeline.Withdrawn)
+		w.end("wk-2", job.Cancelled, ended.Both)
+		if v := w.is("wk-3", pipeline.Withdrawn); v.Cause != "wk-2" {
+			t.Error(v)
+		}
+		if w.reads > 0 {
+			t.Errorf("%d records were read that the mirror's changes have shown", w.reads)
+		}
+	})
+}
+
+// A later life finds jobs that ended long ago, in the form of any version: their records
+// are read once each. Until then nobody is told that a job waits, for one before it may
+// have been cancelled.
+func TestRecordsOfLongAgoAreRead(t *testing.T) {
+	story(t, func(w *world) {
+		w.end("wk-1", job.Done, ended.Former)
+		w.end("wk-2", job.Done, ended.Compact)
+		w.write(statekv.Op{Set: "robin/final/wk-3", Value: map[string]any{"status": "done", "tasks": 1}}) // production's
+		w.end("wk-4", job.Cancelled, ended.Compact)
+		w.end("wk-9", job.Done, ended.Both)
+		w.open("wk-5", "wk-1", "wk-2")
+		w.open("wk-6", "wk-2", "wk-3")
+		w.open("wk-7", "wk-4")
+		w.open("wk-8", "wk-7")
+		w.known["wk-9"] = ended.Record{Status: job.Done, Tasks: 1, AtMS: 5}
+		w.open("wk-10", "wk-9")
+		time.Sleep(time.Hour)
+		w.begin()
+		if v := w.is("wk-5", pipeline.Unread); len(v.Unread) != 2 {
+			t.Error(v)
+		}
+		w.is("wk-6", pipeline.Unread)
+		w.is("wk-7", pipeline.Unread)
+		w.is("wk-10", pipeline.Ready)
+		if v := w.is("wk-8", pipeline.Waiting); len(v.Unread) != 1 || v.Unread[0] != "wk-4" {
+			t.Error(v)
+		}
+		time.Sleep(time.Second)
+		if v := w.is("wk-5", pipeline.Ready); v.Since.IsZero() {
+			t.Error("when it was ready is lost")
+		}
+		if v := w.is("wk-6", pipeline.Ready); !v.Since.IsZero() {
+			t.Errorf("production does not tell when: %v", v.Since)
+		}
+		w.is("wk-7", pipeline.Withdrawn)
+		w.is("wk-8", pipeline.Withdrawn)
+		if w.reads != 4 {
+			t.Errorf("%d reads of 4 records", w.reads)
+		}
+	})
+}
+
+// The state service is away while records are wanted: nothing opens, and all is found
+// out once it is back. A damaged record keeps what waits for it waiting, and is named.
+func TestOutageAndDamage(t *testing.T) {
+	story(t, func(w *world) {
+		w.end("wk-1", job.Done, ended.Compact)
+		w.write(statekv.Op{Set: ended.Key("wk-2"), Value: "mangled"})
+		w.open("wk-5", "wk-1")
+		w.open("wk-6", "wk-2")
+		w.open("wk-7", "wk-6")
+		w.write(statekv.Op{Set: job.OpenKey("wk-8"), Value: "mangled"})
+		w.open("wk-9", "wk-8")
+		w.begin()
+		w.state.Set(true, false)
+		for range 60 {
+			w.is("wk-5", pipeline.Unread)
+			w.is("wk-6", pipeline.Unread)
+			time.Sleep(time.Second)
+		}
+		w.state.Set(false, false)
+		for range 5 {
+			w.pipes.Judge("wk-5")
+			w.pipes.Judge("wk-6")
+			time.Sleep(time.Second)
+		}
+		w.is("wk-5", pipeline.Ready)
+		w.is("wk-6", pipeline.Unread)
+		w.is("wk-9", pipeline.Waiting)
+		bad := w.keys.Bad()
+		if bad[ended.Key("wk-2")] == "" {
+			t.Error(bad)
+		}
+	})
+}
+
+// Hundreds of names are kept in pieces; a job with them waits like any other, also for
+// who reads everything anew after a gap in its watch.
+func TestNamesInPieces(t *testing.T) {
+	story(t, func(w *world) {
+		w.begin()
+		var names []string
+		for k := range 800 {
+			names = append(names, fmt.Sprintf("wk-%06d", 7919*k%1000000))
+		}
+		rec := record("wk-1", names...)
+		if !rec.Large(2048) {
+			t.Fatal("it fits one value")
+		}
+		ops, err := rec.Split(2048, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.open(names[799])
+		w.write(append(ops, statekv.Op{Set: job.OpenKey("wk-1"), Value: rec})...)
+		for again := range 2 {
+			v, _ := w.pipes.Judge("wk-1")
+			if v.State != pipeline.Waiting || len(v.On) != 1 || v.On[0] != names[799] || len(v.Unread) != 799 {
+				t.Fatal(again, v.State, v.On, len(v.Unread))
+			}
+			if err := w.keys.Load(w.ctx); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.write(statekv.Op{Delete: job.OpenKey("wk-1")})
+		if n := len(w.pipes.Names()); n > 0 {
+			t.Error(n)
+		}
+	})
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -59,9 +59,10 @@
 	from      time.Time // when it could start: its submission, or the end of the last job that it needs
 	waits     bool      // for other jobs: nothing is done for it
 	verdict   pipeline.Verdict
-	as        *job.Spec       // spec with the rank and deadline that it is treated as having
-	limits    []time.Duration // what the queue's order goes by
-	aims      []time.Duration // and the users' aims for when its tasks should have started
+	urgency   pipeline.Urgency // from those that need it
+	as        *job.Spec        // spec with the rank and deadline that it is treated as having
+	limits    []time.Duration  // what the queue's order goes by
+	aims      []time.Duration  // and the users' aims for when its tasks should have started
 	tasks     []taskState
 	done      job.Set
 	doneCount int
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -35,7 +35,8 @@
 	homes   map[*fakes.Worker]string // the node that each reports to
 
 	objectives []config.Objective
-	forgetful  bool // words to stop or forget tasks get lost
+	limits     [2]int // of values and of transactions, or those of before
+	forgetful  bool   // words to stop or forget tasks get lost
 }
 
 type node struct {
@@ -112,6 +113,9 @@
 	settings := &config.Settings{Host: host, Peers: []config.Peer{{Host: other(host)}}, Teams: map[string]config.Team{"t": {Name: "t"}}, Zones: []string{"a", "b"}, Objectives: w.objectives,
 		Workers: config.Workers{Report: 3 * time.Second, Lease: 30 * time.Second, GangWait: 45 * time.Second, CancelGone: 60 * time.Second},
 		State:   config.State{RPS: 100, WriteRPS: 50, ValueBytes: 8192, TxnOps: 24}}
+	if w.limits[0] > 0 {
+		settings.State.ValueBytes, settings.State.TxnOps = w.limits[0], w.limits[1]
+	}
 	ctx, stop := context.WithCancel(w.ctx)
 	n := &node{host: host, stop: stop, up: true}
 	mirror := statekv.NewMirror(w.state, []string{statekv.FleetPrefix, job.OpenPrefix, job.PiecePrefix}, statekv.RootPrefix, time.Second, 0, func(events []statekv.Event) {
@@ -142,6 +146,9 @@
 	go n.agent.Run(ctx)
 	go feed.Run(ctx)
 	go n.placer.Run(ctx, feed)
+	go pipes.Run(ctx, func(ctx context.Context, id string) (ended.Record, error) {
+		return ended.Read(ctx, w.state, []statekv.Cond{n.member.Cond()}, id)
+	})
 	return n
 }
 
@@ -182,6 +189,20 @@
 	}
 }
 
+// queue lists the jobs of a node that wait, as its status does.
+func (n *node) queue(w *world) map[string]placer.Waiting {
+	w.t.Helper()
+	var list []placer.Waiting
+	if err := placer.NewService(n.placer).Queue(10_000, &list); err != nil {
+		w.t.Fatal(err)
+	}
+	out := map[string]placer.Waiting{}
+	for _, q := range list {
+		out[q.Job] = q
+	}
+	return out
+}
+
 func (w *world) submit(n *node, spec job.Spec) {
 	w.t.Helper()
 	slot, _, ok := n.placer.Home()
--- a/placer/waits.go
+++ b/placer/waits.go
@@ -29,9 +29,9 @@
 		if j.waits {
 			p.follow(id, j, now)
 		}
-		if u, ok := p.pipes.Urgency(id); ok {
-			j.treatAs(u)
-			j.limits = p.settings.Limits(j.spec.Class, j.as.DeadlineS)
+		// Also when nobody needs it any more: the one that did was cancelled.
+		if u, _ := p.pipes.Urgency(id); u != j.urgency {
+			p.treatAs(j, u)
 		}
 	}
 }
@@ -52,8 +52,7 @@
 		if j.from.Before(j.submitted) {
 			j.from = j.submitted
 		}
-		j.treatAs(pipeline.Urgency{})
-		j.limits = p.settings.Limits(j.spec.Class, j.as.DeadlineS)
+		p.treatAs(j, j.urgency)
 		slog.Info("job ready", "job", id, "after", j.from.Sub(j.submitted).Round(time.Millisecond))
 	case pipeline.Withdrawn:
 		// Nothing of it has ever run: what it waits for cannot become done any more.
@@ -65,7 +64,8 @@
 // treatAs sets the rank and the deadline that the job is treated as having: its own or,
 // where that is more urgent, what those that need it hand to it. Its deadline counts
 // from when it could start, as its age does.
-func (j *jobState) treatAs(u pipeline.Urgency) {
+func (p *Placer) treatAs(j *jobState, u pipeline.Urgency) {
+	j.urgency = u
 	as := *j.spec
 	if job.RankOf(u.Rank) > as.Priority() {
 		as.Rank = u.Rank
@@ -79,6 +79,7 @@
 		as.DeadlineS = &left
 	}
 	j.as = &as
+	j.limits = p.settings.Limits(as.Class, as.DeadlineS)
 }
 
 // mostShown bounds the jobs that the status names for one that waits for them.
