--- a/dev/dev.go
+++ b/dev/dev.go
@@ -21,6 +21,7 @@
 	"robinstack/cloud"
 	"robinstack/fakes"
 	"robinstack/job"
+	"robinstack/statekv"
 )
 
 // Options say what to run.
@@ -158,15 +159,22 @@
 	if err != nil {
 		return nil, err
 	}
-	var rec struct {
-		Spec job.Spec `json:"spec"`
+	rec, err := job.ParseRecord(kv.Value)
+	if err == nil {
+		err = rec.Join(func(key string) (statekv.KV, bool) {
+			kv, err := f.State.Get(context.Background(), key)
+			return kv, err == nil
+		})
 	}
-	if err := json.Unmarshal(kv.Value, &rec); err != nil {
+	if err != nil {
 		return nil, fmt.Errorf("the record of %s: %w", id, err)
 	}
 	return &rec.Spec, nil
 }
 
+// limitsToCome are those that the settings announce for the state service.
+var limitsToCome = map[string]int{"write_rps": 55, "value_kb": 2, "txn_ops": 8}
+
 func (f *Fleet) file(host string) string { return filepath.Join(f.dir, host+".json") }
 
 // settings writes the file that the platform hands to a controller.
@@ -193,7 +201,7 @@
 		"teams":      []map[string]any{{"name": "crew", "cpus": 0, "cpus_max": 0, "gpus": 0, "gpus_max": 0}},
 		"objectives": []map[string]any{{"kind": "wait", "class": "try", "within_s": 10, "share": 0.9}},
 		"workers":    map[string]float64{"report_s": 1, "lease_s": 8, "gang_wait_s": 20, "gang_peer_s": 3, "cancel_s": 20},
-		"state":      map[string]float64{"rps": 200, "write_rps": 75, "value_kb": 8, "txn_ops": 24},
+		"state":      map[string]any{"rps": 200, "write_rps": 75, "value_kb": 8, "txn_ops": 24, "next": limitsToCome},
 		"cloud":      map[string]float64{"rps": 20, "list_lag_s": 1}, "clock_off_ms": 10,
 		"quota": map[string]float64{"cores": 1, "memory_mb": 512, "max_connections": 2000},
 	}
--- a/dev/rolls.go
+++ b/dev/rolls.go
@@ -36,6 +36,9 @@
 	accepted  time.Time
 	final     string
 	cancelled bool // its user asked for that
+
+	needs  []string  // jobs that it waits for
+	ending time.Time // when its user was told that a job before it is cancelled
 }
 
 // load is users that submit, ask and cancel for as long as the rolls go on, and remember
@@ -47,6 +50,10 @@
 
 	mu      sync.Mutex
 	jobs    map[string]*known
+	chains  bool           // all controllers know pipelines: jobs may wait for others
+	waiting sync.WaitGroup // submissions of such under way
+	named   int
+	recent  []string
 	count   int
 	refused int           // submissions without a yes in their time
 	slowest time.Duration // submission
@@ -65,19 +72,37 @@
 	l.mu.Lock()
 	l.count++
 	n := l.count
+	needs := l.choose()
 	l.mu.Unlock()
+	if len(needs) > 0 {
+		defer l.waiting.Done()
+	}
 	id, tasks, shape := fmt.Sprintf("wk-%08d", n), 1+rand.IntN(int(2*l.of.Tasks)), "sweep"
 	if n%4 == 0 {
 		shape, tasks = "gang", 1+rand.IntN(3)
 	}
 	s := Submission(id, shape, "", tasks, 1, l.of.Seconds*(0.25+1.5*rand.Float64()))
+	if len(needs) > 0 {
+		s["waits_on"] = needs
+	}
 	began := time.Now()
-	for time.Since(began) < time.Minute && ctx.Err() == nil {
+	for time.Since(began) < time.Minute && ctx.Err() == nil && (len(needs) == 0 || l.linked()) {
 		a, err := l.client.Submit(ctx, l.address(), s)
 		if err == nil && (a.Code == http.StatusCreated || a.Code == http.StatusOK) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
-			l.jobs[id] = &known{tasks: tasks, accepted: time.Now()}
+			l.jobs[id] = &known{tasks: tasks, accepted: time.Now(), needs: needs}
+			if l.recent = append(l.recent, id); len(l.recent) > mostRecent {
+				l.recent = l.recent[1:]
+			}
+			if len(needs) > 0 {
+				l.named++
+			}
+			for _, p := range needs {
+				if l.jobs[p].cancelled && l.jobs[p].final == "withdrawn" || !l.jobs[p].ending.IsZero() {
+					l.jobs[id].ending = time.Now()
+				}
+			}
 			took := time.Since(began)
 			l.slowest = max(l.slowest, took)
 			if took > time.Second {
@@ -93,13 +118,79 @@
 		}
 		time.Sleep(300 * time.Millisecond)
 	}
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && (len(needs) == 0 || l.linked()) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.refused++
 	}
 }
 
+// mostRecent is of how many jobs accepted last some are named by new ones.
+const mostRecent = 12
+
+// choose picks jobs that the next one is to wait for. The mutex is held.
+func (l *load) choose() (needs []string) {
+	if !l.chains || len(l.recent) == 0 || rand.IntN(2) == 0 {
+		return nil
+	}
+	for range 1 + rand.IntN(3) {
+		if id := l.recent[rand.IntN(len(l.recent))]; !slices.Contains(needs, id) {
+			needs = append(needs, id)
+		}
+	}
+	l.waiting.Add(1)
+	return needs
+}
+
+func (l *load) linked() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.chains
+}
+
+// link says whether jobs may wait for others from now on; before they may not any more
+// it waits until no such submission is under way.
+func (l *load) link(on bool) {
+	l.mu.Lock()
+	l.chains = on
+	l.mu.Unlock()
+	if !on {
+		l.waiting.Wait()
+	}
+}
+
+// before lists the tasks that have to be completed before one starts.
+func (l *load) before(task string) (tasks []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	id, _, _ := strings.Cut(task, "/")
+	j := l.jobs[id]
+	if j == nil {
+		return nil // its acceptance is on its way to its user
+	}
+	for _, p := range j.needs {
+		for k := range l.jobs[p].tasks {
+			tasks = append(tasks, fmt.Sprintf("%s/%d", p, k))
+		}
+	}
+	return tasks
+}
+
+// ended notes that a user was told of a cancellation, for all jobs after that one. The
+// mutex is held.
+func (l *load) ended(id string) {
+	for after, j := range l.jobs {
+		if j.ending.IsZero() && slices.Contains(j.needs, id) {
+			j.ending = time.Now()
+			l.ended(after)
+		}
+	}
+}
+
+// cancelGone is the time within which all is over after a cancellation, as the settings
+// say.
+const cancelGone = 20 * time.Second
+
 // ask asks for a job, or cancels it, and holds the answer against earlier ones.
 func (l *load) ask(ctx context.Context, id string, cancel bool) {
 	l.mu.Lock()
@@ -109,6 +200,7 @@
 	l.mu.Unlock()
 	var a Answer
 	var err error
+	asked := time.Now()
 	if cancel {
 		a, err = l.client.Cancel(ctx, l.address(), id)
 	} else {
@@ -131,10 +223,15 @@
 			}
 		}
 		j.final = a.Status
-	case a.Status == "withdrawn" && !j.cancelled:
+	case a.Status == "withdrawn" && !j.cancelled && j.ending.IsZero():
 		l.breaks("went_back: %s is called cancelled and nobody cancelled it", id)
 	case a.Status == "withdrawn":
 		j.final = a.Status
+		if cancel {
+			l.ended(id)
+		}
+	case !j.ending.IsZero() && asked.Sub(j.ending) > cancelGone:
+		l.breaks("orphaned: %s is called %s %v after a job before it was cancelled", id, a.Status, asked.Sub(j.ending).Round(time.Second))
 	}
 }
 
@@ -186,6 +283,7 @@
 		return errors.New("--former is missing, or the load is none")
 	}
 	l := &load{f: f, of: of, client: NewClient(), jobs: map[string]*known{}}
+	f.Farm.Check(l.before)
 	lctx, stop := context.WithCancel(ctx)
 	defer stop()
 	var users sync.WaitGroup
@@ -220,16 +318,21 @@
 			return err
 		}
 		f.command("raise")
+		// As soon as all are new, users send pipelines, and the limits are lowered.
+		l.link(true)
+		f.State.Limit(limitsToCome["value_kb"]*1024, limitsToCome["txn_ops"])
 		pause(12 * time.Second)
 		level := f.level()
 		if n%3 == 2 && level > 0 && !closed(level) {
 			refusedAt = append(refusedAt, level)
 		} else {
 			loweredFrom = append(loweredFrom, level)
+			l.link(false)
 			if err := f.lower(ctx); err != nil {
 				return err
 			}
 		}
+		f.State.Limit(0, 0) // the former version keeps to those of before
 		if err := replace(of.Former); err != nil {
 			return err
 		}
@@ -273,6 +376,7 @@
 	again, gap := l.f.Farm.Again()
 	fmt.Fprintf(out, "tasks: %d starts, %d of them of tasks that had been started before; longest time without a start %v\n", l.f.Farm.Starts(), again, gap.Round(time.Millisecond))
 	fmt.Fprintf(out, "jobs: %d done, %d cancelled, %d lost %v\n", byStatus["done"], byStatus["withdrawn"], len(open), open[:min(10, len(open))])
+	fmt.Fprintf(out, "pipelines: %d jobs waited for others; refused as too large: %d %v\n", l.named, len(l.f.State.Over()), l.f.State.Over()[:min(3, len(l.f.State.Over()))])
 	broken := append(l.broken, l.f.Farm.Broken()...)
 	fmt.Fprintf(out, "rules broken: %d %s\n", len(broken), strings.Join(broken[:min(10, len(broken))], "; "))
 	if len(broken) > 0 || len(open) > 0 {
--- a/fakes/farm.go
+++ b/fakes/farm.go
@@ -34,6 +34,7 @@
 	done     map[string]bool            // tasks that have completed
 	on       map[string]*run            // where a task is
 	gangs    map[string]map[string]*run // tasks on machines, by job and attempt
+	needs    func(task string) []string // tasks that have to be completed before one starts
 	starts   int
 	before   map[string]bool // tasks that have been started
 	again    int
@@ -79,6 +80,14 @@
 	return f.again, f.gap
 }
 
+// Check has each start of a task checked: needs lists the tasks that have to be completed
+// before. It must not ask the farm.
+func (f *Farm) Check(needs func(task string) []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.needs = needs
+}
+
 // Completed reports whether a task has completed.
 func (f *Farm) Completed(task string) bool {
 	f.mu.Lock()
@@ -179,9 +188,21 @@
 
 // began books that a task is on a machine. The farm's mutex guards the history.
 func (f *Farm) began(r *run) {
+	f.mu.Lock()
+	needs, first := f.needs, []string(nil)
+	f.mu.Unlock()
+	if needs != nil {
+		first = needs(r.id)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.starts++
+	for _, p := range first {
+		if !f.done[p] {
+			f.broken = append(f.broken, fmt.Sprintf("too_early: %s starts before %s has completed", r.id, p))
+			break
+		}
+	}
 	if f.before[r.id] {
 		f.again++
 	}
