--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -168,8 +169,9 @@
 		line(50*time.Second, `msg="job cancelled" job=wk-6`)+
 		line(180*time.Second, `msg=fleet machines=1`))
 	classes, teams := l.Served(func(_ string, due time.Duration) time.Duration { return due })
-	want := Served{Name: "read", Jobs: 4, Cancelled: 1, Started: 2, Done: 2, Tasks: 8, By: [3]Part{{3, 1}, {3, 2}, {2, 2}}, LongestS: 180}
-	if len(classes) != 2 || classes[0] != want || teams[0].Jobs != 4 || teams[0].Name != "t-read" {
+	want := Served{Name: "read", Jobs: 4, Cancelled: 1, Started: 2, Done: 2, Tasks: 8, By: [3]Part{{3, 1}, {3, 2}, {2, 2}}, LongestS: 180,
+		Largest: Part{4, 2}, LargestBegun: Part{2, 2}, LargestTasks: 2, LargestWaitsS: 180}
+	if len(classes) != 2 || !reflect.DeepEqual(classes[0], want) || teams[0].Jobs != 4 || teams[0].Name != "t-read" {
 		t.Fatalf("%+v\n%+v", classes, teams)
 	}
 	if train := classes[1]; train.Jobs != 1 || train.Started != 0 || train.By != [3]Part{} {
@@ -180,3 +182,37 @@
 		t.Fatal(out.String(), err)
 	}
 }
+
+// The largest jobs of a class count by themselves: that all small ones began hides
+// nothing. What waits for others has not begun to wait for a place, and what was
+// withdrawn with a job before it is cancelled.
+func TestTheLargestAndThoseThatWait(t *testing.T) {
+	var log strings.Builder
+	accepted := func(at time.Duration, id string, tasks, waits int) {
+		log.WriteString(line(at, `msg="job accepted" job=%s class=read team=t tasks=%d gpus=1 due_s=0 slot=s waits_on=%d`, id, tasks, waits))
+	}
+	started := func(at time.Duration, id string) {
+		log.WriteString(line(at, `msg="task committed" task=%s/0 attempt=1 machine=m verdict=started`, id))
+	}
+	for k := range 18 {
+		id := fmt.Sprintf("wk-%d", k)
+		accepted(0, id, 1, 0)
+		started(time.Second, id)
+	}
+	accepted(0, "wk-90", 50, 0) // never begins
+	accepted(0, "wk-91", 50, 1) // is ready after 500 s, and begins 100 s later
+	log.WriteString(line(500*time.Second, `msg="job ready" job=wk-91 after=500s`))
+	started(600*time.Second, "wk-91")
+	accepted(0, "wk-92", 70, 1) // is withdrawn
+	log.WriteString(line(20*time.Second, `msg="job withdrawn" job=wk-92 because=wk-7`))
+	accepted(0, "wk-93", 80, 2) // waits still
+	log.WriteString(line(700*time.Second, `msg=fleet machines=1`))
+	classes, _ := read(t, log.String()).Served(func(string, time.Duration) time.Duration { return 0 })
+	v := classes[0]
+	if v.Jobs != 20 || v.Cancelled != 1 || v.Waiting != 1 || v.Started != 19 {
+		t.Errorf("%+v", v)
+	}
+	if v.LargestTasks != 50 || v.Largest != (Part{2, 1}) || v.LargestBegun != (Part{2, 1}) || v.LargestWaitsS != 700 || v.LongestS != 700 {
+		t.Errorf("%+v", v)
+	}
+}
--- a/audit/order.go
+++ b/audit/order.go
@@ -22,7 +22,17 @@
 	longest         time.Duration // of those runs
 	last            time.Time     // when the last of them ended
 
-	started, complete, cancelled time.Time
+	waits                               int       // jobs that it names
+	ready, started, complete, cancelled time.Time // cancelled: by its user, or with one before it
+}
+
+// from is when the job could start, by its readiness if it waited for others; ok is
+// false for one that waits still.
+func (s *submission) from() (at time.Time, ok bool) {
+	if s.waits == 0 {
+		return s.at, true
+	}
+	return s.ready, !s.ready.IsZero()
 }
 
 // Order is what the deadlines of a class became, and what another order could have
@@ -157,6 +167,9 @@
 	if due := v.seconds("due_s"); due > 0 {
 		s.due = at.Add(due)
 	}
+	if _, ok := f["waits_on"]; ok { // since there are pipelines
+		s.waits = int(v.number("waits_on"))
+	}
 	if v.err == nil {
 		l.jobs[s.id] = s
 	}
--- a/audit/read.go
+++ b/audit/read.go
@@ -221,7 +221,7 @@
 		}
 	case "job accepted":
 		return l.accepted(at, f)
-	case "task committed", "job complete", "job cancelled":
+	case "task committed", "job complete", "job cancelled", "job ready", "job withdrawn":
 		l.follow(at, f)
 	case "machine is silent":
 		l.machine(f["machine"]).silent = at.Add(-v.seconds("for_s"))
--- a/audit/served.go
+++ b/audit/served.go
@@ -17,15 +17,28 @@
 type Served struct {
 	Name      string  `json:"name"`
 	Jobs      int     `json:"jobs"`      // accepted, without those that their users cancelled
-	Cancelled int     `json:"cancelled"` // by their users
+	Cancelled int     `json:"cancelled"` // by their users, or with one before them
+	Waiting   int     `json:"waiting"`   // for other jobs when the log ends; not among Jobs
 	Started   int     `json:"started"`   // with at least one task on a machine
 	Done      int     `json:"done"`
 	Tasks     int     `json:"tasks"`
 	TasksDone int     `json:"tasks_done"`
 	By        [3]Part `json:"done_by"`        // by each of Times
-	LongestS  float64 `json:"longest_wait_s"` // until the first start, or until the log's end
+	LongestS  float64 `json:"longest_wait_s"` // from when it could start until the first start, or until the log's end
+
+	// The largest jobs are the tenth with the most tasks, at least one, and any as large
+	// as the smallest of those. Begun are those that had a task on a machine within
+	// LargestWithin of when they could start, of those for which that has passed.
+	Largest       Part    `json:"largest_started"`
+	LargestBegun  Part    `json:"largest_begun_in_time"`
+	LargestTasks  int     `json:"largest_from_tasks"`
+	LargestWaitsS float64 `json:"largest_longest_wait_s"`
+	sized         []*submission
 }
 
+// LargestWithin is the time within which the largest jobs have to begin.
+const LargestWithin = 4 * time.Minute
+
 // Part is how many of so many.
 type Part struct {
 	Of   int `json:"of"`
@@ -63,6 +76,7 @@
 	}
 	list := func(m map[string]*Served) (out []Served) {
 		for _, name := range slices.Sorted(maps.Keys(m)) {
+			m[name].largest(l.last)
 			out = append(out, *m[name])
 		}
 		return out
@@ -75,15 +89,19 @@
 		v.Cancelled++
 		return
 	}
+	ready, ok := s.from()
+	if !ok {
+		v.Waiting++
+		return
+	}
 	v.Jobs++
+	v.sized = append(v.sized, s)
 	v.Tasks += s.tasks
 	v.TasksDone += min(s.done, s.tasks)
-	from := end
 	if !s.started.IsZero() {
 		v.Started++
-		from = s.started
 	}
-	v.LongestS = max(v.LongestS, from.Sub(s.at).Round(100*time.Millisecond).Seconds())
+	v.LongestS = max(v.LongestS, s.waited(ready, end).Seconds())
 	if !s.complete.IsZero() {
 		v.Done++
 	}
@@ -100,6 +118,43 @@
 	}
 }
 
+// waited is how long a job waited for its first start since it could.
+func (s *submission) waited(ready, end time.Time) time.Duration {
+	if !s.started.IsZero() {
+		end = s.started
+	}
+	return max(0, end.Sub(ready).Round(100*time.Millisecond))
+}
+
+// largest tells what became of the largest jobs.
+func (v *Served) largest(end time.Time) {
+	if len(v.sized) == 0 {
+		return
+	}
+	slices.SortFunc(v.sized, func(a, b *submission) int { return b.tasks - a.tasks })
+	v.LargestTasks = v.sized[(len(v.sized)-1)/10].tasks
+	for _, s := range v.sized {
+		if s.tasks < v.LargestTasks {
+			break
+		}
+		ready, _ := s.from()
+		wait := s.waited(ready, end)
+		v.LargestWaitsS = max(v.LargestWaitsS, wait.Seconds())
+		v.Largest.Of++
+		if !s.started.IsZero() {
+			v.Largest.Kept++
+		}
+		switch {
+		case !s.started.IsZero() && wait <= LargestWithin:
+			v.LargestBegun.Of++
+			v.LargestBegun.Kept++
+		case !s.started.IsZero() || wait > LargestWithin:
+			v.LargestBegun.Of++
+		}
+	}
+	v.sized = nil
+}
+
 // worst orders the least served first, by the tightest reading.
 func worst(a, b Served) int {
 	share := func(p Part) float64 {
@@ -120,10 +175,11 @@
 		for _, times := range Times {
 			fmt.Fprintf(t, "\tby %g times its aim", times)
 		}
-		fmt.Fprintln(t, "\tlongest wait")
+		fmt.Fprintln(t, "\tlongest wait\tlargest, tasks\tstarted\tbegun in 4 min\tlongest wait")
 		for _, v := range list {
-			fmt.Fprintf(t, "%s\t%d\t%d\t%v\t%v\t%v\t%v\t%v\t%v\t%.1f s\n", v.Name, v.Jobs, v.Cancelled, Part{v.Jobs, v.Started}, Part{v.Jobs, v.Done},
-				Part{v.Tasks, v.TasksDone}, v.By[0], v.By[1], v.By[2], v.LongestS)
+			fmt.Fprintf(t, "%s\t%d\t%d\t%v\t%v\t%v\t%v\t%v\t%v\t%.1f s\t%d of %d\t%v\t%v\t%.1f s\n", v.Name, v.Jobs, v.Cancelled, Part{v.Jobs, v.Started}, Part{v.Jobs, v.Done},
+				Part{v.Tasks, v.TasksDone}, v.By[0], v.By[1], v.By[2], v.LongestS,
+				v.Largest.Of, v.LargestTasks, v.Largest, v.LargestBegun, v.LargestWaitsS)
 		}
 	}
 	return t.Flush()
@@ -144,8 +200,10 @@
 		first(&s.started, at)
 	case "job complete":
 		first(&s.complete, at)
-	case "job cancelled":
+	case "job cancelled", "job withdrawn":
 		first(&s.cancelled, at)
+	case "job ready":
+		first(&s.ready, at)
 	}
 }
 
