Gateway: no job is without an answer for long, however many ask

Three things could be unfair to one id: questions beyond 400 at a time were refused at random; lookups of jobs that are over or unknown shared a rate that whoever came first used up; and a job whose neighbour's final record is damaged would have got 503 for ever.

--- /dev/null
+++ b/ended/finder.go
@@ -0,0 +1,195 @@
+package ended
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"robinstack/statekv"
+)
+
+// Finder answers questions about jobs that have no open record: they are over, or nobody
+// ever submitted them. However many come, each has its turn in the order of coming, and
+// the requests stay within their share: one transaction without changes sorts out those
+// that were never submitted, many at a time, and only the others are read.
+type Finder struct {
+	store finderStore
+	conds int // conditions of one transaction
+	each  time.Duration
+
+	mu      sync.Mutex
+	queue   []*lookup
+	wanted  map[string]*lookup // those that have not been begun
+	working bool
+}
+
+type finderStore interface {
+	Store
+	Room(kind statekv.Kind, n int) bool
+}
+
+type lookup struct {
+	id   string
+	done chan struct{}
+	r    Record
+	err  error
+}
+
+// mostQueued bounds the questions that wait: at the smallest share of the deployments,
+// 6.7 requests a second of 15 jobs each, the last has its turn after 30 s. longestWait
+// is for how long somebody waits: what would take longer is refused, and is looked up
+// all the same, so that the next question about a job that is over finds the answer.
+const (
+	mostQueued  = 3000
+	longestWait = 500 * time.Millisecond
+)
+
+// NewFinder returns a finder whose transactions have up to so many conditions and whose
+// share allows so many requests a second.
+func NewFinder(store finderStore, conds int, perSecond float64) *Finder {
+	return &Finder{store: store, conds: conds, each: time.Duration(float64(time.Second) / max(1, perSecond)), wanted: map[string]*lookup{}}
+}
+
+// ErrBusy says that too many questions wait.
+var ErrBusy = fmt.Errorf("%w: too many questions about jobs that are over or unknown", statekv.ErrRefused)
+
+// Find returns the record of a job that is over; statekv.ErrNotFound says that it was
+// not over at some moment since the call: see Read. Whatever is found goes to found,
+// also when nobody waits for it any more.
+func (f *Finder) Find(ctx context.Context, fence func() (statekv.Cond, bool), id string, found func(string, Record)) (Record, error) {
+	f.mu.Lock()
+	l := f.wanted[id]
+	if l == nil {
+		if len(f.queue) >= mostQueued {
+			f.mu.Unlock()
+			return Record{}, ErrBusy
+		}
+		l = &lookup{id: id, done: make(chan struct{})}
+		f.wanted[id], f.queue = l, append(f.queue, l)
+	}
+	long := time.Duration(len(f.queue)/f.group())*f.each > longestWait
+	if !f.working {
+		f.working = true
+		go f.work(fence, found)
+	}
+	f.mu.Unlock()
+	if long {
+		return Record{}, ErrBusy
+	}
+	timer := time.NewTimer(longestWait)
+	defer timer.Stop()
+	select {
+	case <-l.done:
+		return l.r, l.err
+	case <-timer.C:
+		return Record{}, ErrBusy
+	case <-ctx.Done():
+		return Record{}, fmt.Errorf("%w: %w", ErrBusy, ctx.Err())
+	}
+}
+
+// group is how many jobs one transaction looks for.
+func (f *Finder) group() int { return max(1, (f.conds-1)/len(Absent(""))) }
+
+// work takes the questions in their order until there are none.
+func (f *Finder) work(fence func() (statekv.Cond, bool), found func(string, Record)) {
+	for {
+		// First the turn, then who has it: more may have come meanwhile.
+		for tries := 0; !f.store.Room(statekv.Lookups, 1) && tries < mostTries; tries++ {
+			time.Sleep(turnPause)
+		}
+		f.mu.Lock()
+		n := min(f.group(), len(f.queue))
+		group := slices.Clone(f.queue[:n])
+		f.queue = slices.Delete(f.queue, 0, n)
+		for _, l := range group {
+			delete(f.wanted, l.id) // who asks from now on needs a later answer
+		}
+		f.working = n > 0
+		f.mu.Unlock()
+		if n == 0 {
+			return
+		}
+		f.answer(group, fence, found)
+	}
+}
+
+// turnPause is how long a worker waits before it asks again whether it has a turn, and
+// mostTries after how many times it goes on without.
+const (
+	turnPause = 20 * time.Millisecond
+	mostTries = 50
+)
+
+func (f *Finder) answer(group []*lookup, fence func() (statekv.Cond, bool), found func(string, Record)) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	finish := func(l *lookup, r Record, err error) {
+		if l.r, l.err = r, err; err == nil {
+			found(l.id, r)
+		}
+		close(l.done)
+	}
+	own, lives := fence()
+	if !lives {
+		for _, l := range group {
+			finish(l, Record{}, fmt.Errorf("%w: starting", statekv.ErrRefused))
+		}
+		return
+	}
+	known, unknown, err := Split(ctx, f.store, own, ids(group), Absent)
+	for _, l := range group {
+		switch {
+		case err != nil:
+			finish(l, Record{}, err)
+		case slices.Contains(unknown, l.id):
+			finish(l, Record{}, statekv.ErrNotFound)
+		case slices.Contains(known, l.id):
+			r, err := Read(ctx, f.store, []statekv.Cond{own}, l.id)
+			finish(l, r, err)
+		}
+	}
+}
+
+func ids(group []*lookup) (out []string) {
+	for _, l := range group {
+		out = append(out, l.id)
+	}
+	return out
+}
+
+// Split tells the jobs for which a condition of absent does not hold from those for which
+// all do, each at some moment since the call at which the fence held, with few
+// transactions without changes.
+func Split(ctx context.Context, store Store, fence statekv.Cond, ids []string, absent func(id string) []statekv.Cond) (there, absentOnes []string, err error) {
+	for len(ids) > 0 {
+		when := []statekv.Cond{fence}
+		for _, id := range ids {
+			when = append(when, absent(id)...)
+		}
+		_, err := store.Txn(ctx, when, nil)
+		if err == nil {
+			return there, ids, nil
+		}
+		var conflict *statekv.Conflict
+		if !errors.As(err, &conflict) {
+			return there, nil, err
+		}
+		var left []string
+		for _, id := range ids {
+			if slices.ContainsFunc(absent(id), func(c statekv.Cond) bool { return slices.Contains(conflict.Failed, c.Key) }) {
+				there = append(there, id)
+			} else {
+				left = append(left, id)
+			}
+		}
+		if len(left) == len(ids) {
+			return there, nil, fmt.Errorf("%w: this life is over", statekv.ErrRefused)
+		}
+		ids = left
+	}
+	return there, nil, nil
+}
--- /dev/null
+++ b/ended/finder_test.go
@@ -0,0 +1,138 @@
+package ended_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"robinstack/ended"
+	"robinstack/fakes"
+	"robinstack/job"
+	"robinstack/statekv"
+)
+
+// slow is a state service that allows so many lookups a second, and counts requests.
+type slow struct {
+	*fakes.State
+	every    time.Duration
+	next     time.Time
+	requests int
+}
+
+func (s *slow) Room(statekv.Kind, int) bool {
+	if now := time.Now(); now.Before(s.next) {
+		return false
+	}
+	s.next = time.Now().Add(s.every)
+	return true
+}
+
+func (s *slow) Txn(ctx context.Context, when []statekv.Cond, then []statekv.Op) (uint64, error) {
+	s.requests++
+	return s.State.Txn(ctx, when, then)
+}
+
+// Hundreds of questions about jobs that nobody submitted come every second; one about a
+// job that is over has its turn all the same, in the order of coming, and its answer is
+// kept for the next who asks. Guards against a share that whoever comes first uses up.
+func TestOneAmongThousands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &slow{State: fakes.NewState(), every: 150 * time.Millisecond}
+		if _, err := s.State.Txn(ctx, nil, ended.Ops("wk-1", ended.Record{Status: job.Done, Tasks: 1}, ended.Compact)); err != nil {
+			t.Fatal(err)
+		}
+		f := ended.NewFinder(s, 32, 6.7)
+		fence := func() (statekv.Cond, bool) { return statekv.Cond{Key: "life"}, true }
+		cache := map[string]ended.Record{}
+		found := func(id string, r ended.Record) { cache[id] = r }
+		stop := make(chan struct{})
+		go func() {
+			for k := 0; ; k++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(4 * time.Millisecond): // 250 a second
+				}
+				go func() { _, _ = f.Find(ctx, fence, fmt.Sprintf("wk-9%d", k), found) }()
+			}
+		}()
+		time.Sleep(10 * time.Second)
+		began := time.Now()
+		for cache["wk-1"].Status == "" {
+			if _, err := f.Find(ctx, fence, "wk-1", found); err != nil && !errors.Is(err, statekv.ErrRefused) {
+				t.Fatal(err)
+			}
+			time.Sleep(5 * time.Second)
+		}
+		if took := time.Since(began); took > 45*time.Second {
+			t.Errorf("it took %v", took)
+		}
+		if most := int(time.Since(time.Unix(946684800, 0))/s.every) + 10; s.requests > most {
+			t.Errorf("%d requests, %d at most", s.requests, most)
+		}
+		close(stop)
+		time.Sleep(2 * time.Minute)
+	})
+}
+
+// Those that exist among many that do not are told apart, whatever their form; without a
+// life, or after its end, nobody is told that a job is unknown.
+func TestFinderTellsThemApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		state := fakes.NewState()
+		for k, form := range []ended.Writing{ended.Former, ended.Both, ended.Compact} {
+			if _, err := state.Txn(ctx, nil, ended.Ops(fmt.Sprintf("wk-%d", k), ended.Record{Status: job.Done, Tasks: k + 1}, form)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f := ended.NewFinder(state, 96, 1000)
+		lives, own := true, statekv.Cond{Key: "life"}
+		fence := func() (statekv.Cond, bool) { return own, lives }
+		ask := func() map[string]error {
+			type answer struct {
+				id  string
+				r   ended.Record
+				err error
+			}
+			answers := make(chan answer)
+			for k := range 40 {
+				go func() {
+					id := fmt.Sprintf("wk-%d", k)
+					r, err := f.Find(ctx, fence, id, func(string, ended.Record) {})
+					answers <- answer{id, r, err}
+				}()
+			}
+			out := map[string]error{}
+			for range 40 {
+				a := <-answers
+				if out[a.id] = a.err; a.err == nil && fmt.Sprintf("wk-%d", a.r.Tasks-1) != a.id {
+					t.Errorf("%+v", a)
+				}
+			}
+			return out
+		}
+		for id, err := range ask() {
+			if known := id == "wk-0" || id == "wk-1" || id == "wk-2"; known != (err == nil) || err != nil && !errors.Is(err, statekv.ErrNotFound) {
+				t.Errorf("%s: %v", id, err)
+			}
+		}
+		own.Rev = 77 // which it has not: this life is over
+		for id, err := range ask() {
+			if err != nil && !errors.Is(err, statekv.ErrRefused) {
+				t.Errorf("after its life, %s: %v", id, err)
+			}
+		}
+		lives = false
+		for id, err := range ask() {
+			if !errors.Is(err, statekv.ErrRefused) {
+				t.Errorf("without a life, %s: %v", id, err)
+			}
+		}
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,7 +54,8 @@
 	latencies *latencies
 	pauses    func() (count int, longest time.Duration)
 
-	asking  atomic.Int64 // queries that are being answered
+	turns   turns
+	finder  *ended.Finder
 	refused atomic.Int64 // queries refused because too many came
 	mu      sync.Mutex
 	finals  map[string]ended.Record // answers that never change any more
@@ -71,7 +72,8 @@
 
 // New returns a gateway that has no life to serve yet.
 func New(settings *config.Settings, store statekv.Store, catalogue *cloud.Catalogue, pauses func() (int, time.Duration)) *Gateway {
-	g := &Gateway{settings: settings, store: store, catalogue: catalogue, latencies: newLatencies(), pauses: pauses, finals: map[string]ended.Record{}}
+	g := &Gateway{settings: settings, store: store, catalogue: catalogue, latencies: newLatencies(), pauses: pauses, finals: map[string]ended.Record{},
+		finder: ended.NewFinder(store, 4*settings.State.TxnOps, statekv.LookupShare*settings.State.RPS/float64(max(1, settings.Controllers)))}
 	g.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		JSONEncoder:           json.Marshal,
@@ -223,6 +225,15 @@
 	return ended.Read(ctx, g.store, []statekv.Cond{l.Member.Cond()}, id)
 }
 
+// fence is the condition of this controller's life, if it has one.
+func (g *Gateway) fence() (statekv.Cond, bool) {
+	l := g.life.Load()
+	if l == nil {
+		return statekv.Cond{}, false
+	}
+	return l.Member.Cond(), true
+}
+
 // openRecord returns the record of an open job as of now, so that no answer is
 // older than one that any controller has given.
 func (g *Gateway) openRecord(ctx context.Context, id string) (statekv.KV, error) {
@@ -250,14 +261,10 @@
 		if f, ok := g.final(id); ok {
 			return finalStatus(id, f), nil
 		}
-		if !g.store.Room(statekv.Lookups, 1) {
-			return jobStatus{}, fmt.Errorf("%w: too many questions about jobs that are over or unknown", statekv.ErrRefused)
-		}
-		f, err := g.ReadEnded(ctx, id)
+		f, err := g.finder.Find(ctx, g.fence, id, g.keepFinal)
 		if err != nil {
 			return jobStatus{}, err
 		}
-		g.keepFinal(id, f)
 		return finalStatus(id, f), nil
 	}
 	if err != nil {
@@ -419,16 +426,17 @@
 	}
 	// Beyond what can be answered in time, queries are refused at once:
 	// submissions, cancellations and reports need the processor more.
-	if g.asking.Add(1) > mostAsking {
-		g.asking.Add(-1)
+	turn, ok := g.turns.enter(id, time.Now())
+	if !ok {
 		g.refused.Add(1)
 		return later(c, "too many questions at the moment")
 	}
-	defer g.asking.Add(-1)
+	answered := false
+	defer func() { g.turns.leave(turn, answered, time.Now()) }()
 	ctx, cancel := context.WithTimeout(c.Context(), 1700*time.Millisecond)
 	defer cancel()
 	s, err := g.lookup(ctx, id)
-	switch {
+	switch answered = err == nil || errors.Is(err, statekv.ErrNotFound); {
 	case errors.Is(err, statekv.ErrNotFound):
 		return fail(c, fiber.StatusNotFound, "no such job")
 	case err != nil:
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -24,7 +24,7 @@
 func TestSurplusQueriesAreRefusedEarly(t *testing.T) {
 	g := New(&config.Settings{Host: "host-0"}, tight{fakes.NewState()}, &cloud.Catalogue{}, func() (int, time.Duration) { return 0, 0 })
 	ask := func(id string) (status int, retryAfter string) {
-		resp, err := g.app.Test(httptest.NewRequest("GET", "/submissions/"+id, nil))
+		resp, err := g.app.Test(httptest.NewRequest("GET", "/submissions/"+id, nil), -1)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -35,7 +35,7 @@
 		t.Fatalf("a question beyond the share for lookups: %d, Retry-After %q", code, again)
 	}
 	g.keepFinal("wk-2", ended.Record{Status: job.Done, Tasks: 1})
-	g.asking.Store(mostAsking)
+	g.turns.busy = mostAsking
 	if code, again := ask("wk-1"); code != 503 || again == "" || g.refused.Load() != 1 {
 		t.Fatalf("a surplus question: %d, Retry-After %q, %d refused", code, again, g.refused.Load())
 	}
--- a/gateway/pipelines.go
+++ b/gateway/pipelines.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
-	"slices"
 
 	"robinstack/ended"
 	"robinstack/job"
@@ -63,29 +60,14 @@
 	for len(ids) > 0 {
 		group := ids[:min(most, len(ids))]
 		ids = ids[len(group):]
-		for len(group) > 0 {
-			when := []statekv.Cond{l.Member.Cond()}
-			for _, id := range group {
-				when = append(append(when, ended.Absent(id)...), statekv.Cond{Key: job.OpenKey(id)})
-			}
-			_, err := g.store.Txn(ctx, when, nil)
-			if err == nil {
-				return "waits_on: " + group[0] + " was never accepted", nil
-			}
-			var conflict *statekv.Conflict
-			if !errors.As(err, &conflict) {
-				return "", err
-			}
-			if slices.Contains(conflict.Failed, l.Member.Cond().Key) {
-				return "", fmt.Errorf("%w: this life is over", statekv.ErrRefused)
-			}
-			left := slices.DeleteFunc(slices.Clone(group), func(id string) bool {
-				return slices.Contains(conflict.Failed, job.OpenKey(id)) || slices.Contains(conflict.Failed, ended.Key(id)) || slices.Contains(conflict.Failed, ended.FormerKey(id))
-			})
-			if len(left) == len(group) {
-				return "", fmt.Errorf("%w: %w", statekv.ErrRefused, err)
-			}
-			group = left
+		_, never, err := ended.Split(ctx, g.store, l.Member.Cond(), group, func(id string) []statekv.Cond {
+			return append(ended.Absent(id), statekv.Cond{Key: job.OpenKey(id)})
+		})
+		if err != nil {
+			return "", err
+		}
+		if len(never) > 0 {
+			return "waits_on: " + never[0] + " was never accepted", nil
 		}
 	}
 	return "", nil
--- a/gateway/pipelines_test.go
+++ b/gateway/pipelines_test.go
@@ -276,3 +276,20 @@
 		d.is("wk-2", job.Cancelled)
 	})
 }
+
+// A job whose neighbour is damaged is known all the same: guards against an answer of
+// 503 for ever, after which it would count as forgotten.
+func TestDamagedNeighbour(t *testing.T) {
+	open(t, func(d *door) {
+		d.upgraded()
+		d.put(statekv.Op{Set: ended.Key("wk-1"), Value: "mangled"})
+		d.put(statekv.Op{Set: job.OpenKey("wk-2"), Value: "mangled"})
+		time.Sleep(time.Second)
+		d.submit(201, "wk-3", "wk-1")
+		d.submit(201, "wk-4", "wk-2", "wk-3")
+		time.Sleep(3 * time.Second)
+		d.is("wk-2", job.Queued)
+		d.is("wk-3", job.Queued)
+		d.is("wk-4", job.Queued)
+	})
+}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -66,6 +66,7 @@
 	State  State
 	On     []string  // open jobs that it names
 	Unread []string  // jobs, not only those that it names, whose final records have to be read
+	Bad    []string  // those among them whose records are damaged: they are tried again seldom
 	Cause  string    // the cancelled job that it is withdrawn for
 	Since  time.Time // when the last job that it needs was done; zero if that is not known
 }
--- a/pipeline/tracker.go
+++ b/pipeline/tracker.go
@@ -33,7 +33,8 @@
 	nodes    map[string]*Node
 	after    map[string]int // how many nodes name a job
 	finals   map[string]ended.Record
-	unread   map[string]bool // named jobs whose final records are wanted
+	unread   map[string]bool      // named jobs whose final records are wanted
+	bad      map[string]time.Time // since when their final records are known to be damaged
 	changes  uint64
 	urgent   map[string]Urgency // as of urgentAt; nil: never worked out
 	urgentAt uint64
@@ -52,7 +53,7 @@
 	if t.finals == nil {
 		t.finals = map[string]ended.Record{}
 	}
-	t.nodes, t.after, t.unread = map[string]*Node{}, map[string]int{}, map[string]bool{}
+	t.nodes, t.after, t.unread, t.bad = map[string]*Node{}, map[string]int{}, map[string]bool{}, map[string]time.Time{}
 }
 
 // OnEvents takes note of changes; nil says that some were missed. It does no I/O.
@@ -92,6 +93,7 @@
 func (t *Tracker) settle(id string, r ended.Record) {
 	t.finals[id] = r
 	delete(t.unread, id)
+	delete(t.bad, id)
 	t.changes++
 }
 
@@ -142,6 +144,7 @@
 			delete(t.after, p)
 			delete(t.finals, p)
 			delete(t.unread, p)
+			delete(t.bad, p)
 		}
 	}
 }
@@ -178,7 +181,16 @@
 		return v, false
 	}
 	v = Judge(snapshot{t}, n)
-	for _, p := range v.Unread {
+	all := v.Unread
+	v.Unread = nil
+	for _, p := range all {
+		if since, bad := t.bad[p]; bad {
+			if v.Bad = append(v.Bad, p); time.Since(since) < tryBadAgain {
+				continue
+			}
+		} else {
+			v.Unread = append(v.Unread, p)
+		}
 		if t.after[p] > 0 && !t.unread[p] {
 			t.unread[p] = true
 			select {
@@ -224,6 +236,10 @@
 	return out
 }
 
+// tryBadAgain is after how long a damaged record is read again: a person may have
+// written it back.
+const tryBadAgain = 20 * time.Second
+
 // readPause is the pause after a final record could not be read.
 const readPause = 300 * time.Millisecond
 
@@ -266,6 +282,11 @@
 		default:
 			// What waits for it goes on waiting, until a person has seen to it.
 			t.keys.Unreadable(ended.Key(id), err)
+			t.mu.Lock()
+			if t.after[id] > 0 {
+				t.bad[id] = time.Now()
+			}
+			t.mu.Unlock()
 		}
 		cancel()
 		select {
--- a/pipeline/tracker_test.go
+++ b/pipeline/tracker_test.go
@@ -185,6 +185,21 @@
 		if bad[ended.Key("wk-2")] == "" {
 			t.Error(bad)
 		}
+		// Their users are told that they wait, or the jobs would count as forgotten; and it is
+		// read again seldom, until a person has written it back.
+		if v := w.is("wk-7", pipeline.Waiting); len(v.Unread) > 0 || len(v.Bad) != 1 {
+			t.Errorf("%+v", v)
+		}
+		before := w.reads
+		for range 60 {
+			w.pipes.Judge("wk-6")
+			time.Sleep(time.Second)
+		}
+		if n := w.reads - before; n < 2 || n > 4 {
+			t.Errorf("read %d times in a minute", n)
+		}
+		w.write(statekv.Op{Set: ended.Key("wk-2"), Value: []any{1, "d", 1}})
+		w.is("wk-6", pipeline.Ready)
 	})
 }
 
--- a/placer/waits.go
+++ b/placer/waits.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"time"
 
@@ -86,7 +87,7 @@
 const mostShown = 5
 
 func (j *jobState) waitsFor() string {
-	names := append(j.verdict.On, j.verdict.Unread...)
+	names := slices.Concat(j.verdict.On, j.verdict.Unread, j.verdict.Bad)
 	if len(names) == 0 {
 		return "waits for others; its record is being read"
 	}
--- a/statekv/client.go
+++ b/statekv/client.go
@@ -128,9 +128,12 @@
 	Lookups
 )
 
+// LookupShare is the part of a controller's requests that lookups may use.
+const LookupShare = 0.3
+
 // shares are the parts of a controller's changes, or for lookups of its
 // requests, that each kind may use.
-var shares = [...]float64{Claims: 0.7, Chores: 0.5, Lookups: 0.3}
+var shares = [...]float64{Claims: 0.7, Chores: 0.5, Lookups: LookupShare}
 
 // Client talks to the state service over HTTP and keeps this controller's
 // share of the service's limits.
