Agent: late copies renew nothing, and machines that commands do not reach

Copies of reports come late, from seconds to well over a lease; a machine's reports arrive while answers and commands do not reach it; a controller loses all but its workers.

Causes found: a copy counted as a report that was answered, so that the tasks of a dead machine were booked for as long as copies came; copies that reached another controller counted as visits of a worker that cannot reach its owner; one of a deleted machine had its key written again; a machine whose commands were lost counted as room in the steward's plans; numbers out of range made all later reports old; a controller without the state service and peers stayed ready, and answered users after 1.5 s. With more than four zones a controller's home shards did not fit one transaction.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,6 +36,8 @@
 	machines map[string]*machine
 	voided   map[TaskRef]time.Time
 	unread   map[string]bool   // jobs whose records have to be read
+	odd      map[string]bool   // machines whose reports were refused, to log it once
+	buried   map[string]buried // machines whose keys were removed lately
 	shards   map[string]uint64 // shards held, with their keys' revisions
 	home     []string          // those that take new machines
 	claiming map[string]bool   // machines in the queue of claims
@@ -67,7 +69,7 @@
 	return &Agent{
 		settings: settings, store: store, mirror: mirror, member: member, workers: workers, types: types,
 		claims: make(chan claim, 256), learns: make(chan struct{}, 1),
-		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, claiming: map[string]bool{}, released: map[string]uint64{}, visits: map[string]visit{}, seen: map[string]sight{}, gens: map[int]int{}, homeless: map[int]bool{}, sent: map[string]time.Time{}, rooms: newRooms(), changed: make(chan struct{}),
+		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, odd: map[string]bool{}, buried: map[string]buried{}, claiming: map[string]bool{}, released: map[string]uint64{}, visits: map[string]visit{}, seen: map[string]sight{}, gens: map[int]int{}, homeless: map[int]bool{}, sent: map[string]time.Time{}, rooms: newRooms(), changed: make(chan struct{}),
 	}
 }
 
@@ -160,6 +162,7 @@
 	Owner  bool
 	Answer worker.Answer
 	Home   string // controller to report to, if known
+	Odd    string // why it is malformed
 }
 
 // Report takes a worker's report.
@@ -174,6 +177,8 @@
 		kv, exists := a.mirror.Get(statekv.MachinePrefix + r.Machine)
 		holder, owned := Owner(a.mirror, kv)
 		switch {
+		case !exists && a.isBuried(r, now):
+			return Reply{} // a late copy: nobody answers for it any more
 		case !exists:
 			if home := a.zoneOwner(r, now); home != "" {
 				return Reply{Home: home}
@@ -186,7 +191,7 @@
 			reply, _ := a.ownReport(r)
 			return reply
 		case a.member.Alive(holder):
-			if a.cannotReach(r.Machine, owned, now) {
+			if a.cannotReach(r, owned, now) {
 				return a.claimFor(ctx, r, kv.Rev)
 			}
 			return Reply{Home: holder.Host}
@@ -247,6 +252,14 @@
 	if m.gone || m.removing {
 		return Reply{}, true
 	}
+	if odd := m.odd(r); odd != "" {
+		a.tellOdd(r, odd)
+		return Reply{Odd: odd}, true
+	}
+	if !m.reported.before(serialOf(r)) {
+		// A copy, however late: it renews nothing, and orders would be taken for sent.
+		return Reply{Owner: true, Answer: worker.Answer{Token: m.token()}}, true
+	}
 	if r.Token > m.token() {
 		// The worker has seen a successor's token: an answer with ours would
 		// be dropped and keep the worker here while its lease runs out.
@@ -256,6 +269,7 @@
 	if !a.answering(now) {
 		return Reply{}, true
 	}
+	m.reported = serialOf(r)
 	a.apply(m, r, now, 0)
 	m.answered(now)
 	if m.pressing(now) {
@@ -264,6 +278,18 @@
 	return Reply{Owner: true, Answer: worker.Answer{Token: m.token(), Orders: m.orders(now, false)}}, true
 }
 
+// tellOdd logs a report that cannot be, once for each machine. The mutex is held.
+func (a *Agent) tellOdd(r *worker.Report, why string) {
+	if a.odd[r.Machine] {
+		return
+	}
+	if len(a.odd) > 1000 {
+		clear(a.odd)
+	}
+	a.odd[r.Machine] = true
+	slog.Warn("a report is refused", "machine", r.Machine, "why", why, "address", r.Address, "tenure", r.Session, "serial", r.Seq)
+}
+
 func (a *Agent) homeOf(name string) string {
 	kv, ok := a.mirror.Get(statekv.MachinePrefix + name)
 	holder, _ := Owner(a.mirror, kv)
@@ -442,6 +468,11 @@
 		// as soon as a report shows it.
 		slog.Debug("command unanswered", "machine", m.name, "err", err)
 		m.counter++
+		was := m.deaf(now)
+		if m.unheard(now); !was && m.deaf(time.Now()) && !m.silent {
+			slog.Info("machine reports, and commands do not reach it", "machine", m.name, "commands", m.lost)
+			a.touch(m)
+		}
 		for _, t := range m.tasks {
 			if t.sent && t.sentToken == token {
 				t.fence = m.token()
@@ -453,9 +484,15 @@
 		m.retryAt = time.Now().Add(pause)
 		return false
 	}
-	if report.Machine != m.name {
+	if report.Machine != m.name || report.Address != m.address {
+		a.tellOdd(report, "it answers for machine "+m.name)
+		m.retryAt = time.Now().Add(time.Second)
 		return false
 	}
+	if m.lost > 0 {
+		m.heardOf()
+		a.touch(m)
+	}
 	if report.Token > m.token() {
 		a.release(m)
 		return false
--- a/agent/balance.go
+++ b/agent/balance.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"robinstack/statekv"
+	"robinstack/worker"
 )
 
 // Machines change hands also while their owner lives: when their workers
@@ -22,6 +23,7 @@
 	rev         uint64
 	count       int
 	first, last time.Time
+	report      serial // the latest that was counted: copies of it are no visits
 }
 
 // sight is a shard's revision, and when it was seen first.
@@ -46,13 +48,18 @@
 
 // cannotReach notes that a worker came although its owner is alive, and says
 // whether it has come so often that it plainly cannot reach that owner.
-func (a *Agent) cannotReach(name string, rev uint64, now time.Time) bool {
+func (a *Agent) cannotReach(r *worker.Report, rev uint64, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	name := r.Machine
 	v := a.visits[name]
 	if v.rev != rev || now.Sub(v.last) > visitsApart {
-		v = visit{rev: rev, first: now}
+		v = visit{rev: rev, first: now, report: v.report}
 	}
+	if !v.report.before(serialOf(r)) {
+		return false // a copy that came late: its worker is elsewhere by now
+	}
+	v.report = serialOf(r)
 	v.count++
 	v.last = now
 	if len(a.visits) > 4096 {
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -193,16 +193,19 @@
 	return a.rev, "its owner " + holder.Host + " has not caught up"
 }
 
-// PeersServed counts the other agents that reported lately that the state
-// service serves them.
-func (f *Feed) PeersServed(self string) int {
+// Peers counts the other agents that were heard lately, and those of them that the state
+// service serves by their own word.
+func (f *Feed) Peers(self string) (heard, served int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 0
 	for host, a := range f.acks {
-		if host != self && a.stateOK && time.Since(a.at) < 4*time.Second {
-			n++
+		if host == self || time.Since(a.at) >= 4*time.Second {
+			continue
+		}
+		heard++
+		if a.stateOK {
+			served++
 		}
 	}
-	return n
+	return heard, served
 }
--- /dev/null
+++ b/agent/late_test.go
@@ -0,0 +1,332 @@
+package agent_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/config"
+	"robinstack/fakes"
+	"robinstack/statekv"
+	"robinstack/worker"
+)
+
+// pair starts two controllers; the first owns machine m1, on which task wk-1/0 runs.
+func pair(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) (a, b *node, w *fakes.Worker, epoch uint64) {
+	t.Helper()
+	with := func(host, peer string) *node {
+		s := settings()
+		s.Host, s.Peers = host, []config.Peer{{Host: peer}}
+		return startWith(t, ctx, s, host, state, workers)
+	}
+	a, b = with("host-0", "host-1"), with("host-1", "host-0")
+	epoch = slot(t, a, "s", 0)
+	w = workers.Add("m1", "box", "")
+	a.report(workers, w)
+	time.Sleep(time.Second)
+	a.report(workers, w)
+	if got := a.commit(t, "m1", "s", epoch, 0, 1); got != agent.Started {
+		t.Fatalf("verdict %q", got)
+	}
+	a.report(workers, w)
+	return a, b, w, epoch
+}
+
+// copyOf is the report that the worker sent last, once more.
+func copyOf(workers *fakes.Workers, w *fakes.Worker) (r worker.Report) {
+	workers.Do(func() {
+		r = w.Report
+		r.Tasks = append([]worker.Task(nil), w.Report.Tasks...)
+	})
+	return r
+}
+
+// A machine dies. Copies of its last report go on coming to its owner, for longer than
+// its lease: they renew nothing, so that its tasks are given up as early as without
+// them, and it does not count as heard. Guards against a lease counted from whatever
+// comes in.
+func TestLateCopiesRenewNothing(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		a, _, w, _ := pair(t, ctx, state, workers)
+		last := copyOf(workers, w)
+		workers.Do(func() { w.Deaf = true })
+		died := time.Now()
+		for time.Since(died) < 36*time.Second {
+			time.Sleep(2 * time.Second)
+			if reply := a.agent.Report(ctx, &last); len(reply.Answer.Orders) > 0 {
+				t.Fatalf("a copy was given orders: %+v", reply)
+			}
+			e := a.entries()["m1"]
+			if late := time.Since(died) > 12*time.Second; late && !e.Silent {
+				t.Fatalf("after %v it counts as heard", time.Since(died))
+			}
+		}
+		if n := len(a.entries()["m1"].Tasks); n != 0 {
+			t.Errorf("%d tasks are still booked %v after the machine died", n, time.Since(died))
+		}
+	})
+}
+
+// Copies of an earlier session, and of an earlier moment of this one, prove nothing: what
+// came since stays, and what has gone does not come back.
+func TestLateCopiesProveNothing(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		a, _, w, epoch := pair(t, ctx, state, workers)
+		before := copyOf(workers, w) // with the first task only
+		overtaken := workers.Next(w) // a report that the answer to a command overtakes
+		if got := a.commit(t, "m1", "s", epoch, 1, 2); got != agent.Started {
+			t.Fatalf("verdict %q", got)
+		}
+		a.agent.Report(ctx, &overtaken)
+		if n := len(a.entries()["m1"].Tasks); n != 2 {
+			t.Fatalf("a report that was overtaken left %d tasks of 2", n)
+		}
+		a.report(workers, w)
+		a.agent.Report(ctx, &before)
+		if n := len(a.entries()["m1"].Tasks); n != 2 {
+			t.Fatalf("a copy of before left %d tasks of 2", n)
+		}
+		// Its lease runs out: a new session, without tasks.
+		workers.Do(func() { w.Report.Session, w.Report.Tasks = 2, nil })
+		a.report(workers, w)
+		for range 5 {
+			a.agent.Report(ctx, &before)
+			time.Sleep(time.Second)
+		}
+		if got := a.entries()["m1"].Tasks; len(got) != 0 {
+			t.Fatalf("a copy of the earlier session brought back %v", got)
+		}
+	})
+}
+
+// Copies that reach another controller are no workers that cannot reach their owner: it
+// takes nothing, however many come; one whose reports do come is taken.
+func TestLateCopiesElsewhereTakeNothing(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		a, b, w, _ := pair(t, ctx, state, workers)
+		rev := a.entries()["m1"].Rev
+		last := copyOf(workers, w)
+		for range 20 {
+			b.agent.Report(ctx, &last)
+			time.Sleep(time.Second)
+			a.report(workers, w)
+		}
+		if kv, ok := b.entries()["m1"]; ok || a.entries()["m1"].Rev != rev {
+			t.Fatalf("a machine was taken for copies of its report: %+v", kv)
+		}
+		for range 6 {
+			r := workers.Next(w)
+			b.agent.Report(ctx, &r)
+			time.Sleep(4 * time.Second)
+		}
+		if _, ok := b.entries()["m1"]; !ok {
+			t.Fatal("a worker that came six times was not taken")
+		}
+	})
+}
+
+// Copies for a machine that was deleted revive nothing: no key is written for it, by
+// whichever controller they reach.
+func TestLateCopiesOfADeletedMachine(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		a, b, w, _ := pair(t, ctx, state, workers)
+		last := copyOf(workers, w)
+		if err := a.service.Removed(agent.MachinesRequest{Names: []string{"m1"}}, &agent.MachinesReply{}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		key := statekv.MachinePrefix + "m1"
+		if _, err := state.Get(ctx, key); err == nil {
+			t.Fatal("its key was not removed")
+		}
+		for _, n := range []*node{a, b} { // as the controller's watch tells
+			n.agent.OnRemoved(statekv.Event{Delete: key})
+		}
+		for range 60 {
+			a.agent.Report(ctx, &last)
+			b.agent.Report(ctx, &last)
+			time.Sleep(2 * time.Second)
+			if _, err := state.Get(ctx, key); err == nil {
+				t.Fatal("a copy had it claimed again")
+			}
+		}
+	})
+}
+
+// A machine whose reports arrive while answers and commands do not: it gets nothing new
+// after one command, counts as silent after three, and its task goes elsewhere when the
+// next session proves it gone and not before. It is used again once commands get
+// through.
+func TestOneWayMachine(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		a, _, w, epoch := pair(t, ctx, state, workers)
+		workers.Do(func() { w.Deaf = true })
+		began := time.Now()
+		hear := func() { // its reports arrive; what is answered does not
+			r := workers.Next(w)
+			a.agent.Report(ctx, &r)
+			time.Sleep(3 * time.Second)
+		}
+		if got := a.commit(t, "m1", "s", epoch, 1, 2); got != agent.Unsettled {
+			t.Fatalf("verdict %q without an answer", got)
+		}
+		hear()
+		if got := a.commit(t, "m1", "s", epoch, 2, 3); got != agent.Refused {
+			t.Fatalf("it got another task: %q", got)
+		}
+		for time.Since(began) < 12*time.Second {
+			hear()
+		}
+		if !a.entries()["m1"].Silent {
+			t.Fatal("it counts as one that serves")
+		}
+		for time.Since(began) < 34*time.Second {
+			hear()
+			if n := len(a.entries()["m1"].Tasks); n != 2 {
+				t.Fatalf("after %v: %d tasks are booked, and nothing is proven", time.Since(began), n)
+			}
+		}
+		workers.Do(func() { w.Report.Session, w.Report.Tasks = 2, nil }) // by its own clock
+		hear()
+		if got := a.entries()["m1"].Tasks; len(got) != 0 {
+			t.Fatalf("the next session proves %v gone", got)
+		}
+		if !a.entries()["m1"].Silent {
+			t.Fatal("it counts as one that serves, and commands still do not reach it")
+		}
+		workers.Do(func() { w.Deaf = false })
+		time.Sleep(3 * time.Second)
+		a.report(workers, w)
+		if a.entries()["m1"].Silent {
+			t.Fatal("it answers, and counts as silent")
+		}
+		if got := a.commit(t, "m1", "s", epoch, 2, 4); got != agent.Started {
+			t.Fatalf("it is not used again: %q", got)
+		}
+		workers.DeliverLate(w)
+		if n := held(workers, w); n != 1 {
+			t.Errorf("%d tasks run: a command that was lost was carried out late", n)
+		}
+	})
+}
+
+// Reports that cannot be a machine's change nothing, and its own go on to count: numbers
+// that leap out of range would make all later ones old.
+func TestReportsThatCannotBe(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		a, _, w, epoch := pair(t, ctx, state, workers)
+		for what, change := range map[string]func(*worker.Report){
+			"a huge serial":             func(r *worker.Report) { r.Seq = 1 << 63 },
+			"a huge tenure":             func(r *worker.Report) { r.Session = 1 << 62 },
+			"another machine's address": func(r *worker.Report) { r.Address = "m7" },
+		} {
+			r := workers.Next(w)
+			r.Tasks = nil
+			change(&r)
+			if reply := a.agent.Report(ctx, &r); reply.Odd == "" {
+				t.Errorf("%s: %+v", what, reply)
+			}
+			if n := len(a.entries()["m1"].Tasks); n != 1 {
+				t.Fatalf("%s: %d tasks are booked", what, n)
+			}
+		}
+		back := copyOf(workers, w)
+		back.Seq, back.Session, back.Tasks = 1, 0, nil
+		a.agent.Report(ctx, &back)
+		a.report(workers, w)
+		if got := a.commit(t, "m1", "s", epoch, 1, 2); got != agent.Started || held(workers, w) != 2 {
+			t.Errorf("its own reports do not count any more: %q", got)
+		}
+	})
+}
+
+// A controller loses the state service and the others, and keeps its workers: it starts
+// nothing, answers them for its hold time and no longer, and its successor counts that
+// in.
+func TestOwnerWithWorkersOnly(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		cut := &cutOff{State: state}
+		a := startWith(t, ctx, settings(), "host-0", cut, workers)
+		b := start(t, ctx, "host-1", state, workers)
+		epoch := slot(t, a, "s", 0)
+		w := workers.Add("m1", "box", "")
+		a.report(workers, w)
+		time.Sleep(time.Second)
+		if got := a.commit(t, "m1", "s", epoch, 0, 1); got != agent.Started {
+			t.Fatalf("verdict %q", got)
+		}
+		cut.off = true
+		workers.Do(func() { w.Deaf = true }) // the zone is cut off with it: nobody else reaches them
+		began := time.Now()
+		time.Sleep(4 * time.Second)
+		if err := state.Revoke(ctx, 1); err != nil { // its state lease is over
+			t.Fatal(err)
+		}
+		if got := a.commit(t, "m1", "s", epoch, 1, 2); got != agent.Refused {
+			t.Fatalf("an owner that may be none any more started a task: %q", got)
+		}
+		last := time.Now()
+		for time.Since(began) < 50*time.Second {
+			if reply := a.report(workers, w); reply.Owner {
+				last = time.Now()
+			}
+			time.Sleep(time.Second)
+		}
+		if held := last.Sub(began); held > settings().HoldTime() || held < settings().HoldTime()-6*time.Second {
+			t.Errorf("it answered for %v; the hold time is %v", held, settings().HoldTime())
+		}
+		// The worker's lease counts from there, and the successor knows.
+		for time.Since(last) < settings().Workers.Lease {
+			if e, ok := b.entries()["m1"]; ok && e.Settled && len(e.Tasks) == 0 {
+				t.Fatalf("given up %v after its last answer", time.Since(last))
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// cutOff is a state service that one controller does not reach any more.
+type cutOff struct {
+	*fakes.State
+	off bool
+}
+
+func (c *cutOff) Get(ctx context.Context, key string) (statekv.KV, error) {
+	if c.off {
+		return statekv.KV{}, statekv.ErrUnknown
+	}
+	return c.State.Get(ctx, key)
+}
+
+func (c *cutOff) List(ctx context.Context, prefix, after string) (statekv.Page, error) {
+	if c.off {
+		return statekv.Page{}, statekv.ErrUnknown
+	}
+	return c.State.List(ctx, prefix, after)
+}
+
+func (c *cutOff) Txn(ctx context.Context, when []statekv.Cond, then []statekv.Op) (uint64, error) {
+	if c.off {
+		return 0, statekv.ErrUnknown
+	}
+	return c.State.Txn(ctx, when, then)
+}
+
+func (c *cutOff) Renew(ctx context.Context, lease uint64) error {
+	if c.off {
+		return statekv.ErrUnknown
+	}
+	return c.State.Renew(ctx, lease)
+}
+
+func (c *cutOff) Follow(ctx context.Context, prefix string, since uint64, block time.Duration) (statekv.News, error) {
+	if c.off {
+		select {
+		case <-ctx.Done():
+		case <-time.After(block):
+		}
+		return statekv.News{}, statekv.ErrUnknown
+	}
+	return c.State.Follow(ctx, prefix, since, block)
+}
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -73,6 +73,9 @@
 	seenToken uint64
 	session   uint64
 	seq       uint64
+	reported  serial // the latest report that came here, answers to commands left aside
+	lost      int    // commands in a row that had no answer
+	lostAt    time.Time
 	tasks     map[taskKey]*task
 	images    map[string]time.Time
 	fetches   map[string]*fetch // by image
@@ -125,9 +128,64 @@
 func (m *machine) unfenced() bool { return m.seenToken < m.token() }
 
 func (m *machine) newer(r *worker.Report) bool {
-	return r.Session > m.session || r.Session == m.session && r.Seq > m.seq
+	return serial{m.session, m.seq}.before(serialOf(r))
 }
 
+// serial is what tells which of two messages of a worker is the newer one.
+type serial struct{ session, seq uint64 }
+
+func serialOf(r *worker.Report) serial { return serial{r.Session, r.Seq} }
+
+func (s serial) before(o serial) bool {
+	return o.session > s.session || o.session == s.session && o.seq > s.seq
+}
+
+// Each report has a number of its own, and a worker has one under way at a time. So one
+// that is not beyond the latest that came is a copy: its worker has had its answer, or
+// has given it up, and drops any that is given now.
+
+// most are how far a worker's numbers may go on from the last ones known: ten years of
+// two reports a second, and sessions of some seconds each. What is beyond them, or goes
+// where a number cannot, is a mistake and must not make all later reports old.
+const (
+	mostSeq     = 1 << 30
+	mostSession = 1 << 24
+)
+
+// odd says why a report cannot be this machine's, or "".
+func (m *machine) odd(r *worker.Report) string {
+	switch {
+	case r.Address != m.address:
+		return "its address is another machine's"
+	case r.Session > m.session+mostSession || r.Seq > max(m.seq, m.reported.seq)+mostSeq:
+		return "its numbers are out of range"
+	}
+	return ""
+}
+
+// A machine that reports while commands do not reach it gets nothing new after the first
+// one without an answer (unfenced). After deafAfter in a row, over deafFor at least, it
+// counts as silent for all who ask whether it serves: nothing can be placed there.
+const (
+	deafAfter = 3
+	deafFor   = 5 * time.Second
+)
+
+// deaf reports whether commands do not reach the machine although it reports.
+func (m *machine) deaf(now time.Time) bool {
+	return m.lost >= deafAfter && now.Sub(m.lostAt) >= deafFor
+}
+
+// unheard notes that a command had no answer, and heardOf that one had.
+func (m *machine) unheard(now time.Time) {
+	if m.lost == 0 {
+		m.lostAt = now
+	}
+	m.lost++
+}
+
+func (m *machine) heardOf() { m.lost = 0 }
+
 // put and drop keep the tasks and what is known of the machine's room together.
 func (m *machine) put(key taskKey, t *task) {
 	m.tasks[key] = t
@@ -225,7 +283,10 @@
 	left := m.gangRank()
 	m.session, m.seq, m.heard, m.silent = r.Session, r.Seq, now, false
 	m.seenToken = max(m.seenToken, r.Token)
-	m.address = r.Address
+	if m.lost > 0 && !m.unfenced() {
+		m.heardOf() // it has seen our latest token: answers reach it
+		changed = true
+	}
 	if r.NoticeS != nil && m.noticeAt.IsZero() {
 		m.noticeAt, changed = now.Add(time.Duration(*r.NoticeS*float64(time.Second))), true
 	}
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -255,7 +255,7 @@
 		if _, ok := held[home[k]]; ok {
 			continue
 		}
-		if home[k] = ""; !a.needsHome(k) {
+		if home[k] = ""; !a.needsHome(k) || len(made) >= a.store.Most(a.settings.State.TxnOps) {
 			continue
 		}
 		at := slices.IndexFunc(ids, func(id string) bool { return held[id].index%places == k })
@@ -347,7 +347,7 @@
 			empty = append(empty, statekv.Role{Key: statekv.ShardPrefix + id, Seen: h.rev})
 		}
 	}
-	for _, r := range empty[:min(mostDropped, len(empty))] {
+	for _, r := range empty[:min(a.store.Most(min(mostDropped, a.settings.State.TxnOps)), len(empty))] {
 		when = append(when, a.member.Conds(r)...)
 		then = append(then, statekv.Op{Delete: r.Key})
 	}
@@ -568,6 +568,7 @@
 	m.rooms, m.turn = a.rooms, hashOf(name)%turns
 	m.roomChanged()
 	delete(a.released, name)
+	delete(a.buried, name)
 	a.touch(m)
 	go a.runMachine(a.ctx, m)
 	m.wake()
--- a/agent/service.go
+++ b/agent/service.go
@@ -284,7 +284,7 @@
 
 func (m *machine) entry(host string, now time.Time) Entry {
 	e := Entry{Machine: m.name, Host: host, Rev: m.rev, Ver: m.ver, Type: m.typeName, Zone: m.zone, Spot: m.spot,
-		Settled: m.settled, Draining: m.draining || m.removing, Silent: m.silent, Faulty: m.faulty, Gone: m.gone, Notice: !m.noticeAt.IsZero()}
+		Settled: m.settled, Draining: m.draining || m.removing, Silent: m.silent || m.deaf(now), Faulty: m.faulty, Gone: m.gone, Notice: !m.noticeAt.IsZero()}
 	if !m.idleSince.IsZero() {
 		e.Idle = max(time.Millisecond, now.Sub(m.idleSince))
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -111,6 +111,8 @@
 				pl.OnJobEvent(e)
 			} else if slot, ok := strings.CutPrefix(e.Set, statekv.SlotPrefix); ok {
 				ag.SlotMoved(slot)
+			} else if strings.HasPrefix(e.Delete, statekv.MachinePrefix) {
+				ag.OnRemoved(e)
 			} else {
 				c.gateway.OnEnded(e.Set, e.Value)
 			}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,6 +137,8 @@
 	}
 	reply := l.Agent.Report(c.Context(), &r)
 	switch {
+	case reply.Odd != "":
+		return fail(c, fiber.StatusBadRequest, reply.Odd)
 	case reply.Owner:
 		if reply.Answer.Orders == nil {
 			reply.Answer.Orders = []worker.Order{}
@@ -148,9 +150,21 @@
 	return later(c, "not the owner of this machine")
 }
 
+// cutOff reports whether this life does not reach the state service: what users ask it
+// then is answered at once with when to come back, for it would wait for nothing. Alone,
+// a renewal or a watch may be late.
+func (l *Life) cutOff(now time.Time) bool {
+	return !l.Member.Certain() && now.Sub(l.Mirror.Fresh()) > staleView
+}
+
+// staleView is how old the mirror is when watches have plainly stopped to come back:
+// they wait for a second at most.
+const staleView = 2500 * time.Millisecond
+
 // ready says no while starting, and when this controller alone has lost the
-// state service. In an outage that others see too, being taken out would only
-// lose the requests that need no state service, and seconds afterwards.
+// state service, or all other controllers with it: then it is rather this one that is
+// cut off, with its workers or without. In an outage that others see too, being taken out
+// would only lose the requests that need no state service, and seconds afterwards.
 func (g *Gateway) ready(c *fiber.Ctx) error {
 	l := g.life.Load()
 	if l == nil || len(g.catalogue.Types()) == 0 {
@@ -159,8 +173,10 @@
 	if _, _, ok := l.Placer.Home(); !ok {
 		return fail(c, fiber.StatusServiceUnavailable, "starting")
 	}
-	if !l.Member.Certain() && l.Feed.PeersServed(g.settings.Host) > 0 {
-		return fail(c, fiber.StatusServiceUnavailable, "cut off from the state service")
+	if !l.Member.Certain() {
+		if heard, served := l.Feed.Peers(g.settings.Host); served > 0 || heard == 0 && len(g.settings.Peers) > 0 {
+			return fail(c, fiber.StatusServiceUnavailable, "cut off from the state service")
+		}
 	}
 	l.Clock.Mark(serving.Ready)
 	return c.JSON(fiber.Map{"status": "ready"})
@@ -361,6 +377,9 @@
 	if f, ok := g.final(spec.ID); ok {
 		return c.JSON(finalStatus(spec.ID, f))
 	}
+	if l.cutOff(time.Now()) {
+		return later(c, "cut off from the state service")
+	}
 	slot, epoch, ok := l.Placer.Home()
 	if !ok {
 		return later(c, "starting")
@@ -426,6 +445,9 @@
 	}
 	// Beyond what can be answered in time, queries are refused at once:
 	// submissions, cancellations and reports need the processor more.
+	if l := g.life.Load(); l != nil && l.cutOff(time.Now()) {
+		return later(c, "cut off from the state service")
+	}
 	turn, ok := g.turns.enter(id, time.Now())
 	if !ok {
 		g.refused.Add(1)
@@ -465,6 +487,9 @@
 		if l == nil {
 			return later(c, "starting")
 		}
+		if l.cutOff(time.Now()) {
+			return later(c, "cut off from the state service")
+		}
 		kv, err := g.openRecord(ctx, id)
 		if errors.Is(err, statekv.ErrNotFound) {
 			f, err := g.ReadEnded(ctx, id)
--- a/gateway/pipelines_test.go
+++ b/gateway/pipelines_test.go
@@ -147,6 +147,28 @@
 	})
 }
 
+// The level goes back while a submission is on its way: it is not taken, or controllers
+// that ignore its names could live beside it.
+func TestTakenUnderTheLevelOnly(t *testing.T) {
+	open(t, func(d *door) {
+		d.upgraded()
+		d.submit(201, "wk-1")
+		d.state.Delay(300 * time.Millisecond)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			d.submit(503, "wk-2", "wk-1")
+		}()
+		time.Sleep(100 * time.Millisecond)
+		d.state.Delay(0)
+		d.put(statekv.Op{Set: statekv.LevelKey, Value: rollout.Level{Form: 1, N: 1, Features: []rollout.Feature{rollout.Gated}}})
+		<-done
+		if _, err := d.state.Get(d.ctx, job.OpenKey("wk-2")); err == nil {
+			t.Error("it was taken")
+		}
+	})
+}
+
 // A name that was never accepted is refused, only when that is certain; any that was is
 // taken, whatever has become of it, whoever accepted it and in whichever form.
 func TestNamesMustHaveBeenAccepted(t *testing.T) {
--- /dev/null
+++ b/placer/chunks_test.go
@@ -0,0 +1,42 @@
+package placer
+
+import (
+	"testing"
+
+	"robinstack/config"
+	"robinstack/fakes"
+	"robinstack/job"
+	"robinstack/rollout"
+)
+
+// Tasks of all chunks of a large job have finished since the last fold: one transaction
+// takes what it may, and the rest goes with the next ones; nothing is left out.
+func TestChunksAreFoldedWithinTheLimit(t *testing.T) {
+	const most = 8
+	p := &Placer{settings: &config.Settings{State: config.State{ValueBytes: 2048, TxnOps: most}}, store: fakes.NewState()}
+	spec := job.Spec{ID: "wk-1", Class: "c", Team: "t", Shape: job.Array, Rank: "normal", Tasks: job.MaxTasks, Image: "i"}
+	j := &jobState{spec: &spec, rest: &job.Record{}, done: job.NewSet(spec.Tasks), dirty: map[int]bool{}}
+	all := job.Chunks(spec.Tasks)
+	for k := range all {
+		j.dirty[k] = true
+	}
+	written := map[string]bool{}
+	for fold := 0; len(j.dirty) > 0; fold++ {
+		if fold == all {
+			t.Fatalf("%d chunks are never written", len(j.dirty))
+		}
+		dirty := j.dirty
+		j.dirty = map[int]bool{}
+		rec := p.record(j, false)
+		ops := p.recordOps(j, &rec, dirty, rollout.Level{})
+		if len(ops) > most || len(ops) == 0 || len(dirty)+len(j.dirty) > all {
+			t.Fatalf("%d changes; %d and %d chunks", len(ops), len(dirty), len(j.dirty))
+		}
+		for _, op := range ops {
+			written[op.Set] = true
+		}
+	}
+	if len(written) != all { // the first chunk is in the record
+		t.Errorf("%d of %d keys were written", len(written), all)
+	}
+}
--- a/statekv/mirror_test.go
+++ b/statekv/mirror_test.go
@@ -130,3 +130,39 @@
 		}
 	})
 }
+
+// What has to be heard first is: whoever waits for a revision finds that those have taken
+// note of it, also when all is read anew.
+func TestFirstHearsBeforeTheRevisionCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		state := fakes.NewState()
+		mirror := statekv.NewMirror(state, []string{jobs}, statekv.RootPrefix, time.Second, 0, func([]statekv.Event) {})
+		heard := 0
+		mirror.First = func(events []statekv.Event) {
+			for _, e := range events {
+				heard++
+				if mirror.Rev() >= e.Rev {
+					t.Errorf("revision %d counted as seen before %s was heard of", e.Rev, e.Key())
+				}
+				if _, ok := mirror.Get(e.Key()); !ok {
+					t.Errorf("%s is not there", e.Key())
+				}
+			}
+		}
+		if err := mirror.Load(ctx); err != nil {
+			t.Fatal(err)
+		}
+		go mirror.Run(ctx)
+		for k := range 5 {
+			rev, err := state.Txn(ctx, nil, []statekv.Op{{Set: fmt.Sprintf("%swk-%d", jobs, k), Value: k}})
+			if err != nil || mirror.Wait(ctx, rev) != nil {
+				t.Fatal(err)
+			}
+		}
+		if heard != 5 {
+			t.Errorf("%d of 5 were heard of", heard)
+		}
+	})
+}
