Placer: every job begins within four minutes, the largest too

And a gang whose machines never come free at one moment could wait for ever beside smaller ones.

Change: a job that has not begun after two minutes goes first in its rank, after three before all; for it owners keep machines as they come free, those that will have room soonest, and the steward what comes free below its team's limit. Nothing more is stopped than before.

--- a/agent/clear.go
+++ b/agent/clear.go
@@ -193,7 +193,7 @@
 		}
 		longest = max(longest, t.grace)
 	}
-	m.claimedBy, m.claimedUntil = r.Spec.ID, now.Add(longest+claimTime)
+	m.claim(&r.Request, now, longest+claimTime)
 	m.wake()
 	reply.Verdicts[0] = Held
 	if len(stop) == 0 {
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -109,8 +109,9 @@
 	keptUntil time.Time // a gang has just left it: kept for the next for a moment
 	keptRank  int       // priority of that gang
 
-	claimedBy    string // job for which tasks of lower priority were stopped
+	claimedBy    string // job for which tasks of lower priority were stopped, or room is gathered
 	claimedUntil time.Time
+	claimedSince time.Time // since when that job could start
 }
 
 func (m *machine) token() uint64 { return m.rev<<tokenBits + m.counter }
--- a/agent/sample.go
+++ b/agent/sample.go
@@ -34,9 +34,9 @@
 	case slices.Contains(r.Avoid, m.name):
 		return "job failed here before"
 	case r.Spec.Priority() < m.keptRank && now.Before(m.keptUntil):
-		return "machine is kept for gangs"
+		return keptForGangs
 	case m.claimedBy != r.Spec.ID && now.Before(m.claimedUntil):
-		return "machine is being cleared for another job"
+		return keptForOther
 	}
 	if at, failed := m.failures[r.Spec.ID]; failed && now.Sub(at) < avoidFor {
 		return "job failed here before"
@@ -44,6 +44,12 @@
 	return ""
 }
 
+// Reasons that do not keep a job from having the machine kept for it.
+const (
+	keptForGangs = "machine is kept for gangs"
+	keptForOther = "machine is kept for another job"
+)
+
 // fits counts how many of the tasks have room on m.
 func (a *Agent) fits(m *machine, need job.Need) (int, job.Need) {
 	t, ok := a.types()[m.typeName]
--- /dev/null
+++ b/placer/begin.go
@@ -0,0 +1,134 @@
+package placer
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/job"
+	"robinstack/steward"
+)
+
+// beginWithin is the time within which every job has to begin, the largest too, once it
+// can: operators count it a failed day if they do not.
+const beginWithin = 4 * time.Minute
+
+// starves reports whether a job has waited half of that time without any task having
+// been placed: then it goes first in its rank, and room is gathered for it. What fails
+// everywhere does not starve.
+func (j *jobState) starves(now time.Time) bool {
+	return !j.begun && !j.waits && !j.suspect && now.Sub(j.from) > beginWithin/2
+}
+
+// Orders of jobs that starve: before all others of their rank, and after three quarters
+// of the time before all others at all. Going first stops nobody's work.
+const (
+	firstInRank = 5e8
+	firstOfAll  = 1e11
+)
+
+// turn is the job's place in the queue.
+func (p *Placer) turn(j *jobState, now time.Time) float64 {
+	age := now.Sub(j.from)
+	switch {
+	case !j.starves(now):
+		return p.policy.Order(j.as, age, j.limits, j.lastWait())
+	case age > beginWithin*3/4:
+		return firstOfAll + age.Seconds()
+	}
+	return float64(j.as.Priority())*1e9 + firstInRank + age.Seconds()
+}
+
+// gather has room kept for a job that starves, on the machines that will have it
+// soonest; candidates are those that have room now. It returns whether some is kept.
+func (p *Placer) gather(ctx context.Context, j *jobState, req agent.Request, candidates []agent.Candidate, n int) bool {
+	p.mu.Lock()
+	starves := j.starves(time.Now())
+	p.mu.Unlock()
+	if !starves {
+		return false
+	}
+	if j.spec.Shape != job.Gang {
+		n = 1 // it begins with its first task
+	}
+	if !p.limitAllows(ctx, j, req.Epoch, n) && !p.reserve(ctx, j, req.Epoch, n) {
+		return false
+	}
+	req.Tasks = n
+	options := p.ask(ctx, "Agent.Gatherable", req).candidates
+	rank(options)
+	chosen := chooseCleared(j.spec.OneZone, candidates, options, n)
+	if len(chosen) == 0 && len(candidates) == 0 {
+		return false
+	}
+	kept := p.keep(ctx, "Agent.Gather", j, req, chosen, candidates, n)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counters.Gathered++
+	j.nextTry = time.Now().Add(gatherPause)
+	if !j.gathers {
+		j.gathers = true
+		slog.Info("room is gathered", "job", j.spec.ID, "class", j.spec.Class, "tasks", len(j.tasks), "age", time.Since(j.from).Round(time.Second), "machines", kept)
+	}
+	return kept > 0
+}
+
+// gatherPause is the time between two tries of a job that gathers.
+const gatherPause = 700 * time.Millisecond
+
+// keep has owners keep machines for a job, and what room was found for it already:
+// others would take that, and more would have to be kept.
+func (p *Placer) keep(ctx context.Context, method string, j *jobState, req agent.Request, chosen, found []agent.Candidate, n int) (kept int) {
+	chosen = slices.Clone(chosen)
+	zone := ""
+	switch {
+	case !j.spec.OneZone:
+	case len(chosen) > 0:
+		zone = chosen[0].Zone
+	case len(found) > 0:
+		zone = found[0].Zone
+	}
+	for left, k := n-len(chosen), 0; left > 0 && k < len(found); k++ {
+		if c := found[k]; zone == "" || c.Zone == zone {
+			chosen = append(chosen, c)
+			left -= c.Fits
+		}
+	}
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, c := range chosen {
+		calls.Go(func() {
+			var reply agent.CommitReply
+			cctx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			if err := p.call.Call(cctx, c.Host, method, agent.CommitRequest{Request: req, Machine: c.Machine, Rev: c.Rev}, &reply); err != nil {
+				slog.Debug("keeping a machine", "method", method, "machine", c.Machine, "err", err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if len(reply.Verdicts) > 0 && reply.Verdicts[0] == agent.Held {
+				kept++
+			}
+		})
+	}
+	calls.Wait()
+	return kept
+}
+
+// reserve has the steward keep what the team's limit leaves for a job that starves, as
+// it comes free: otherwise smaller jobs of the team would take it for ever. It returns
+// whether all of it is there.
+func (p *Placer) reserve(ctx context.Context, j *jobState, epoch uint64, n int) bool {
+	if !p.settings.Limited(j.spec.Team) {
+		return true
+	}
+	cctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	reply, err := p.permits(cctx, steward.PermitRequest{Slot: j.slot, Epoch: epoch,
+		Reserve: &steward.Reservation{Job: j.spec.ID, Team: j.spec.Team, Need: job.Need{}.Add(j.spec.Need, float64(n)), Since: j.from.UnixMilli()}})
+	return err == nil && reply.Reserved
+}
--- a/placer/events.go
+++ b/placer/events.go
@@ -86,6 +86,7 @@
 		j.attempts = max(j.attempts, te.Attempt)
 		ts.attempt = te.Attempt
 	}
+	j.begun, j.gathers = true, false
 	ts.status, ts.machine, ts.zone, ts.rev, ts.ver, ts.state = placed, e.Machine, e.Zone, e.Rev, e.Ver, te.State
 	p.noteOn(e.Machine, te.TaskRef)
 	if over {
--- a/placer/place.go
+++ b/placer/place.go
@@ -105,14 +105,14 @@
 	}
 	var queue []item
 	for _, j := range p.jobs {
-		if j.over != "" || j.waits || j.busy || now.Before(j.nextTry) || now.Before(j.shape.fullTill) || !p.mayStart(j) {
+		if j.over != "" || j.waits || j.busy || now.Before(j.nextTry) || now.Before(j.shape.fullTill) && !j.starves(now) || !p.mayStart(j) {
 			continue
 		}
 		w := j.waiting()
 		if w == 0 || j.spec.Shape == job.Gang && w < len(j.tasks) {
 			continue
 		}
-		order := p.policy.Order(j.as, now.Sub(j.from), j.limits, j.lastWait())
+		order := p.turn(j, now)
 		if j.suspect {
 			order = math.Inf(-1)
 		}
@@ -125,7 +125,7 @@
 		if p.workers >= maxPlacements {
 			break
 		}
-		if it.j.waitsItsTurn(now) {
+		if it.j.waitsItsTurn(now) && !it.j.starves(now) {
 			continue
 		}
 		it.j.busy = true
@@ -237,6 +237,9 @@
 	if spec.Shape == job.Gang && len(lists) < len(indices) && p.clearRoom(ctx, j, req, candidates, len(indices), false) {
 		return false
 	}
+	if (len(lists) == 0 || spec.Shape == job.Gang && len(lists) < len(indices)) && p.gather(ctx, j, req, candidates, len(indices)) {
+		return false
+	}
 	if found.crowded && len(lists) < len(indices) && spec.Shape != job.Gang {
 		// There is room, but not for its image: jobs with others may take it.
 		p.mu.Lock()
@@ -318,26 +321,7 @@
 	if len(chosen) == 0 {
 		return false
 	}
-	// Room found already is kept too: while tasks elsewhere save, others would
-	// take it, and more would have to be cleared.
-	for left, k := n-len(chosen), 0; left > 0 && k < len(candidates); k++ {
-		if c := candidates[k]; !j.spec.OneZone || c.Zone == chosen[0].Zone {
-			chosen = append(chosen, c)
-			left -= c.Fits
-		}
-	}
-	var calls sync.WaitGroup
-	for _, c := range chosen {
-		calls.Go(func() {
-			var reply agent.CommitReply
-			cctx, cancel := context.WithTimeout(ctx, time.Second)
-			defer cancel()
-			if err := p.call.Call(cctx, c.Host, "Agent.Clear", agent.CommitRequest{Request: req, Machine: c.Machine, Rev: c.Rev}, &reply); err != nil {
-				slog.Debug("clearing a machine", "machine", c.Machine, "err", err)
-			}
-		})
-	}
-	calls.Wait()
+	p.keep(ctx, "Agent.Clear", j, req, chosen, candidates, n)
 	j.clearUntil, j.clearNear = time.Now().Add(clearPause), near
 	soon()
 	return true
@@ -360,7 +344,7 @@
 	}
 	req := steward.PermitRequest{Slot: j.slot, Epoch: epoch, Probe: true}
 	for range n {
-		req.Wants = append(req.Wants, steward.Want{Team: j.spec.Team, Need: j.spec.Need})
+		req.Wants = append(req.Wants, steward.Want{Ref: agent.TaskRef{Job: j.spec.ID}, Team: j.spec.Team, Need: j.spec.Need})
 	}
 	cctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -66,6 +66,8 @@
 	tasks     []taskState
 	done      job.Set
 	doneCount int
+	begun     bool        // a task of it has been placed
+	gathers   bool        // room is being gathered for it
 	fresh     bool        // accepted in this life: nothing of it can run unknown to us
 	over      string      // final status, once decided
 	overAt    time.Time   // when it was found to be done
@@ -154,7 +156,7 @@
 
 // Counters count what the paper's mechanisms did.
 type Counters struct {
-	Placements, Samples, Conflicts, Fallbacks, Requeues, Unanswered, Lost, Failed, Suspects uint64
+	Placements, Samples, Conflicts, Fallbacks, Requeues, Unanswered, Lost, Failed, Suspects, Gathered uint64
 }
 
 // New returns a placer without slots.
@@ -256,6 +258,7 @@
 		}
 	}
 	j.doneCount = j.done.Len()
+	j.begun = j.doneCount > 0
 	j.recall(rec.Failed, time.Now())
 	j.from, j.waits, j.as = j.submitted, len(j.spec.WaitsOn) > 0, j.spec
 	j.limits, j.aims = p.settings.Limits(j.spec.Class, j.spec.DeadlineS), p.settings.Waits(j.spec.Class)
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -84,6 +84,10 @@
 		return n.svc.Clearable(args.(agent.Request), reply.(*agent.Sample))
 	case "Agent.Clear":
 		return n.svc.Clear(args.(agent.CommitRequest), reply.(*agent.CommitReply))
+	case "Agent.Gatherable":
+		return n.svc.Gatherable(args.(agent.Request), reply.(*agent.Sample))
+	case "Agent.Gather":
+		return n.svc.Gather(args.(agent.CommitRequest), reply.(*agent.CommitReply))
 	case "Agent.Commit":
 		return n.svc.Commit(args.(agent.CommitRequest), reply.(*agent.CommitReply))
 	case "Agent.Stop":
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -34,6 +34,7 @@
 	mu      sync.Mutex
 	epoch   uint64 // 0: not steward
 	cleared map[string]bool
+	kept    map[string]reserved // by team
 	settled bool
 	ledger  ledger
 	demand  map[string]demandAt
@@ -48,7 +49,7 @@
 // New returns a steward that does not hold the role yet.
 func New(settings *config.Settings, pol *policy.Policy, mirror *statekv.Mirror, member *statekv.Member, call agent.Caller, api cloud.API, catalogue *cloud.Catalogue) *Steward {
 	return &Steward{settings: settings, policy: pol, mirror: mirror, member: member, call: call, cloud: api, catalogue: catalogue,
-		ledger: newLedger(), demand: map[string]demandAt{}, fleet: newFleet()}
+		ledger: newLedger(), kept: map[string]reserved{}, demand: map[string]demandAt{}, fleet: newFleet()}
 }
 
 // Epoch is the steward epoch if this controller is steward, or 0.
@@ -174,6 +175,40 @@
 	return s.ledger.sums, blank
 }
 
+// reserveFor is how long room below a limit is kept for a job after its placer asked for
+// it last; it asks about every second.
+const reserveFor = 4 * time.Second
+
+// reserved is the job of a team for which room is kept.
+type reserved struct {
+	Reservation
+	until time.Time
+}
+
+// reserve keeps a team's room for the job that could start earliest of those that asked
+// lately: one at a time, so that none waits for another.
+func (s *Steward) reserve(r Reservation, now time.Time) {
+	if was, ok := s.kept[r.Team]; ok && was.Job != r.Job && now.Before(was.until) && was.Since <= r.Since {
+		return
+	}
+	s.kept[r.Team] = reserved{r, now.Add(reserveFor)}
+}
+
+// reservedFor is what is kept from a task of another job of the team.
+func (s *Steward) reservedFor(w Want, now time.Time) job.Need {
+	was, ok := s.kept[w.Team]
+	if !ok || was.Job == w.Ref.Job || !now.Before(was.until) {
+		return job.Need{}
+	}
+	return was.Need
+}
+
+// within reports whether a team may use so much.
+func (s *Steward) within(name string, use job.Need) bool {
+	team := s.settings.Teams[name]
+	return !(team.CPUsMax > 0 && use.CPUs > team.CPUsMax || team.GPUsMax > 0 && use.GPUs > team.GPUsMax)
+}
+
 // Service is what placers call.
 type Service struct{ steward *Steward }
 
@@ -201,12 +236,15 @@
 	if len(s.catalogue.Types()) == 0 {
 		return nil
 	}
+	if r.Reserve != nil {
+		s.reserve(*r.Reserve, time.Now())
+		reply.Reserved = s.kept[r.Reserve.Team].Job == r.Reserve.Job && s.within(r.Reserve.Team, use[r.Reserve.Team].Add(r.Reserve.Need, 1).Add(blank, 1))
+	}
 	added := map[string]job.Need{}
 	for i, w := range r.Wants {
-		team := s.settings.Teams[w.Team]
 		total := added[w.Team].Add(w.Need, 1)
-		most := use[w.Team].Add(total, 1).Add(blank, 1)
-		if team.CPUsMax > 0 && most.CPUs > team.CPUsMax || team.GPUsMax > 0 && most.GPUs > team.GPUsMax {
+		most := use[w.Team].Add(total, 1).Add(blank, 1).Add(s.reservedFor(w, time.Now()), 1)
+		if !s.within(w.Team, most) {
 			continue
 		}
 		added[w.Team] = total
--- a/steward/wire.go
+++ b/steward/wire.go
@@ -18,14 +18,23 @@
 	Epoch   uint64
 	Wants   []Want
 	Release []agent.TaskRef
-	Probe   bool // only say what would be granted
-	Settled bool // the slot has settled: earlier epochs' unused permits are void
+	Probe   bool         // only say what would be granted
+	Reserve *Reservation // keep what comes free below the team's limit for a job
+	Settled bool         // the slot has settled: earlier epochs' unused permits are void
 }
 
 // PermitReply says which were granted.
 type PermitReply struct {
-	Granted []bool
-	Epoch   uint64
+	Granted  []bool
+	Epoch    uint64
+	Reserved bool // the limit leaves room for all that was to be kept
+}
+
+// Reservation is a job for which the room below its team's limit is kept.
+type Reservation struct {
+	Job, Team string
+	Need      job.Need // of all that it needs to begin
+	Since     int64    // when it could start, in milliseconds since 1970: the earliest goes first
 }
 
 // Demand is a job with tasks that wait or run, as its placer sees it.
