--- a/agent/late_test.go
+++ b/agent/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -256,7 +257,7 @@
 		if got := a.commit(t, "m1", "s", epoch, 0, 1); got != agent.Started {
 			t.Fatalf("verdict %q", got)
 		}
-		cut.off = true
+		cut.off.Store(true)
 		workers.Do(func() { w.Deaf = true }) // the zone is cut off with it: nobody else reaches them
 		began := time.Now()
 		time.Sleep(4 * time.Second)
@@ -289,39 +290,39 @@
 // cutOff is a state service that one controller does not reach any more.
 type cutOff struct {
 	*fakes.State
-	off bool
+	off atomic.Bool
 }
 
 func (c *cutOff) Get(ctx context.Context, key string) (statekv.KV, error) {
-	if c.off {
+	if c.off.Load() {
 		return statekv.KV{}, statekv.ErrUnknown
 	}
 	return c.State.Get(ctx, key)
 }
 
 func (c *cutOff) List(ctx context.Context, prefix, after string) (statekv.Page, error) {
-	if c.off {
+	if c.off.Load() {
 		return statekv.Page{}, statekv.ErrUnknown
 	}
 	return c.State.List(ctx, prefix, after)
 }
 
 func (c *cutOff) Txn(ctx context.Context, when []statekv.Cond, then []statekv.Op) (uint64, error) {
-	if c.off {
+	if c.off.Load() {
 		return 0, statekv.ErrUnknown
 	}
 	return c.State.Txn(ctx, when, then)
 }
 
 func (c *cutOff) Renew(ctx context.Context, lease uint64) error {
-	if c.off {
+	if c.off.Load() {
 		return statekv.ErrUnknown
 	}
 	return c.State.Renew(ctx, lease)
 }
 
 func (c *cutOff) Follow(ctx context.Context, prefix string, since uint64, block time.Duration) (statekv.News, error) {
-	if c.off {
+	if c.off.Load() {
 		select {
 		case <-ctx.Done():
 		case <-time.After(block):
--- a/ended/ended_test.go
+++ b/ended/ended_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,8 +157,8 @@
 			t.Fatal(err)
 		}
 		go mirror.Run(ctx)
-		steward := uint64(0)
-		s := &ended.Sweeper{Store: state, Mirror: mirror, Member: member, Steward: func() uint64 { return steward }, Ops: 8, Every: time.Minute}
+		var steward atomic.Uint64
+		s := &ended.Sweeper{Store: state, Mirror: mirror, Member: member, Steward: steward.Load, Ops: 8, Every: time.Minute}
 		go s.Run(ctx)
 		left := func() int { return len(state.Dir(job.PartPrefix)) + len(state.Dir(job.PiecePrefix)) }
 		all := left()
@@ -165,7 +166,7 @@
 		if left() != all {
 			t.Fatal("it swept although it is not steward")
 		}
-		steward = 1
+		steward.Store(1)
 		time.Sleep(3 * time.Minute)
 		if left() != all/3 || len(state.Over()) > 0 {
 			t.Fatalf("%d of %d left, %v", left(), all, state.Over())
--- a/ended/finder_test.go
+++ b/ended/finder_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,11 +20,14 @@
 type slow struct {
 	*fakes.State
 	every    time.Duration
+	mu       sync.Mutex
 	next     time.Time
 	requests int
 }
 
 func (s *slow) Room(statekv.Kind, int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if now := time.Now(); now.Before(s.next) {
 		return false
 	}
@@ -31,7 +36,9 @@
 }
 
 func (s *slow) Txn(ctx context.Context, when []statekv.Cond, then []statekv.Op) (uint64, error) {
+	s.mu.Lock()
 	s.requests++
+	s.mu.Unlock()
 	return s.State.Txn(ctx, when, then)
 }
 
@@ -48,8 +55,8 @@
 		}
 		f := ended.NewFinder(s, 32, 6.7)
 		fence := func() (statekv.Cond, bool) { return statekv.Cond{Key: "life"}, true }
-		cache := map[string]ended.Record{}
-		found := func(id string, r ended.Record) { cache[id] = r }
+		var cached atomic.Bool
+		found := func(id string, _ ended.Record) { cached.Store(cached.Load() || id == "wk-1") }
 		stop := make(chan struct{})
 		go func() {
 			for k := 0; ; k++ {
@@ -62,8 +69,9 @@
 			}
 		}()
 		time.Sleep(10 * time.Second)
+		defer func() { close(stop); time.Sleep(2 * time.Minute) }()
 		began := time.Now()
-		for cache["wk-1"].Status == "" {
+		for !cached.Load() {
 			if _, err := f.Find(ctx, fence, "wk-1", found); err != nil && !errors.Is(err, statekv.ErrRefused) {
 				t.Fatal(err)
 			}
@@ -72,11 +80,11 @@
 		if took := time.Since(began); took > 45*time.Second {
 			t.Errorf("it took %v", took)
 		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		if most := int(time.Since(time.Unix(946684800, 0))/s.every) + 10; s.requests > most {
 			t.Errorf("%d requests, %d at most", s.requests, most)
 		}
-		close(stop)
-		time.Sleep(2 * time.Minute)
 	})
 }
 
--- a/gateway/pipelines_test.go
+++ b/gateway/pipelines_test.go
@@ -283,7 +283,9 @@
 			d.put(statekv.Op{Set: job.OpenKey(id), Value: job.Record{Spec: job.Spec{ID: id, Tasks: 1, WaitsOn: []string{needs}}, Slot: "host-9.1"}})
 		}
 		time.Sleep(time.Second)
-		d.g.finals = map[string]ended.Record{}
+		d.g.mu.Lock()
+		clear(d.g.finals)
+		d.g.mu.Unlock()
 		fresh := pipeline.NewTracker(d.life.Mirror, func(*job.Spec) time.Duration { return 0 }, d.g.Final)
 		fresh.OnEvents(nil)
 		l := *d.life
