--- a/fakes/state.go
+++ b/fakes/state.go
@@ -100,6 +100,13 @@
 	s.Down, s.LoseAnswers = down, loseAnswers
 }
 
+// IsDown reports whether every request fails.
+func (s *State) IsDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Down
+}
+
 func (s *State) record(e statekv.Event) {
 	s.events = append(s.events, e)
 	close(s.changed)
