--- a/gateway/pipelines_test.go
+++ b/gateway/pipelines_test.go
@@ -44,7 +44,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() { cancel(); time.Sleep(10 * time.Second); synctest.Wait() }()
-		settings := &config.Settings{Host: "host-0", Teams: map[string]config.Team{"t": {Name: "t"}}, Zones: []string{"a"},
+		settings := &config.Settings{Host: "host-0", Peers: []config.Peer{{Host: "host-1"}}, Teams: map[string]config.Team{"t": {Name: "t"}}, Zones: []string{"a"},
 			Workers: config.Workers{Report: 3 * time.Second, Lease: 30 * time.Second, CancelGone: 60 * time.Second},
 			State:   config.State{RPS: 100, WriteRPS: 50, ValueBytes: 2048, TxnOps: 8}}
 		catalogue := &cloud.Catalogue{}
@@ -71,6 +71,7 @@
 		l.Levels = rollout.NewReader(l.Mirror)
 		l.Placer = placer.New(settings, policy.Default(), state, l.Mirror, l.Member, alone{}, catalogue.Types, l.Pipes)
 		feed := agent.NewFeed(alone{}, l.Mirror, []string{"host-0"}, l.Placer.Epoch, l.Placer.OnEntries)
+		l.Feed = feed
 		go l.Mirror.Run(ctx)
 		go func() { _ = l.Member.Keep(ctx) }()
 		go l.Placer.Run(ctx, feed)
@@ -317,3 +318,42 @@
 		d.is("wk-4", job.Queued)
 	})
 }
+
+// A controller that has lost the state service and all other controllers, and not its
+// workers: users are answered at once with when to come back, and the load balancer is
+// told to look elsewhere; what is known for ever is told all the same. Guards against a
+// second and a half of waiting for each request, and against staying ready because no
+// other controller said that it is served.
+func TestCutOffFromAllButWorkers(t *testing.T) {
+	open(t, func(d *door) {
+		d.submit(201, "wk-1")
+		d.put(ended.Ops("wk-2", ended.Record{Status: job.Done, Tasks: 1}, ended.Former)...)
+		time.Sleep(time.Second)
+		d.is("wk-2", job.Done)
+		if code, _, _ := d.ask("GET", "/ready", ""); code != 200 {
+			t.Fatal(code)
+		}
+		d.state.Set(true, false)
+		time.Sleep(4 * time.Second)
+		began := time.Now()
+		d.submit(503, "wk-3")
+		for _, path := range [][2]string{{"GET", "/submissions/wk-1"}, {"POST", "/submissions/wk-1/abort"}} {
+			if code, answer, again := d.ask(path[0], path[1], ""); code != 503 || again == "" {
+				t.Errorf("%v: %d %v", path, code, answer)
+			}
+		}
+		if code, _, _ := d.ask("GET", "/ready", ""); code != 503 {
+			t.Errorf("ready: %d", code)
+		}
+		d.is("wk-2", job.Done)
+		if took := time.Since(began); took > 0 {
+			t.Errorf("its users waited %v", took)
+		}
+		d.state.Set(false, false)
+		time.Sleep(2 * time.Second)
+		d.is("wk-1", job.Queued)
+		if code, _, _ := d.ask("GET", "/ready", ""); code != 200 {
+			t.Error("it is back, and not ready")
+		}
+	})
+}
