--- a/gateway/pipelines_test.go
+++ b/gateway/pipelines_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http/httptest"
@@ -29,11 +30,32 @@
 type door struct {
 	t     *testing.T
 	ctx   context.Context
-	state *fakes.State
+	state *learning
 	g     *Gateway
 	life  *Life
 }
 
+// learning is a state service whose client learns how many changes it takes.
+type learning struct {
+	*fakes.State
+	most int
+}
+
+func (l *learning) Txn(ctx context.Context, when []statekv.Cond, then []statekv.Op) (uint64, error) {
+	rev, err := l.State.Txn(ctx, when, then)
+	if errors.Is(err, statekv.ErrTooLarge) {
+		l.most = max(1, len(then)/2)
+	}
+	return rev, err
+}
+
+func (l *learning) Most(ops int) int {
+	if l.most > 0 {
+		return min(l.most, ops)
+	}
+	return ops
+}
+
 type alone struct{}
 
 func (alone) Call(context.Context, string, string, any, any) error {
@@ -49,7 +71,7 @@
 			State:   config.State{RPS: 100, WriteRPS: 50, ValueBytes: 2048, TxnOps: 8}}
 		catalogue := &cloud.Catalogue{}
 		catalogue.Set([]cloud.MachineType{{Name: "box", CPUs: 8, GPUs: 2, MemoryGB: 64, Zones: []string{"a"}}})
-		state := fakes.NewState()
+		state := &learning{State: fakes.NewState()}
 		state.Limit(2048, 8)
 		d := &door{t: t, ctx: ctx, state: state, g: New(settings, state, catalogue, func() (int, time.Duration) { return 0, 0 })}
 		l := &Life{Call: alone{}, Clock: serving.NewClock(time.Now())}
@@ -357,3 +379,28 @@
 		}
 	})
 }
+
+// The limits are lowered without notice while a job with keys beside its record is
+// cancelled: its user asks again and is told; what does not fit one transaction is left
+// for the steward's sweep, and nobody starts anything of it.
+func TestCancelledUnderALowerLimit(t *testing.T) {
+	open(t, func(d *door) {
+		rec := job.Record{Spec: job.Spec{ID: "wk-1", Tasks: job.MaxTasks, Shape: job.Array}, Slot: "host-9.1"}
+		d.put(statekv.Op{Set: job.OpenKey("wk-1"), Value: rec})
+		for _, key := range job.Extras("wk-1", job.MaxTasks, 0) {
+			d.put(statekv.Op{Set: key, Value: "x"})
+		}
+		time.Sleep(time.Second)
+		d.state.Limit(2048, 5)
+		if code, answer, again := d.ask("POST", "/submissions/wk-1/abort", ""); code != 503 || again == "" {
+			t.Fatal(code, answer)
+		}
+		if code, answer, _ := d.ask("POST", "/submissions/wk-1/abort", ""); code != 200 || answer["status"] != job.Cancelled {
+			t.Fatal(code, answer)
+		}
+		d.is("wk-1", job.Cancelled)
+		if left := len(d.state.Dir(job.PartPrefix)); left == 0 || left == job.Chunks(job.MaxTasks)-1 {
+			t.Errorf("%d keys are left for the sweep", left)
+		}
+	})
+}
--- a/placer/pipelines_test.go
+++ b/placer/pipelines_test.go
@@ -85,6 +85,43 @@
 	}
 }
 
+// A chain through two teams, one of which is at its limit: while its job waits for the
+// one before it asks for no permit, and when it is ready it waits for its limit as any
+// other; what comes after it waits for it.
+func TestChainThroughATeamAtItsLimit(t *testing.T) {
+	story(t, func(w *world) {
+		n := w.start("host-0")
+		w.run(3 * time.Second)
+		w.put(statekv.Op{Set: statekv.StewardKey, Value: n.member.Holder})
+		w.run(2 * time.Second)
+		limited := after("wk-2", "wk-1")
+		limited.Team = "full"
+		w.submit(n, after("wk-1"))
+		w.submit(n, limited)
+		w.submit(n, after("wk-3", "wk-2"))
+		w.run(5 * time.Second)
+		w.endAll(worker.Done)
+		w.run(20 * time.Second)
+		if q := n.queue(w); w.started("wk-2") || q["wk-2"].ReadyS == nil || q["wk-3"].Why != "waits for wk-2" {
+			t.Fatalf("%v, %+v", w.starts(), q)
+		}
+		w.mu.Lock()
+		w.full = 1
+		w.mu.Unlock()
+		w.run(5 * time.Second)
+		if !w.started("wk-2") || w.started("wk-3") {
+			t.Fatal(w.starts())
+		}
+		w.endAll(worker.Done)
+		w.run(5 * time.Second)
+		w.endAll(worker.Done)
+		w.run(5 * time.Second)
+		if w.final("wk-3") != job.Done {
+			t.Fatal(w.starts())
+		}
+	})
+}
+
 // A placer believes that a job is done and cannot record it: nothing opens. And if its
 // user cancels it in that moment, the one record that was written decides.
 func TestBeliefOpensNothing(t *testing.T) {
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -19,6 +19,7 @@
 	"robinstack/placer"
 	"robinstack/policy"
 	"robinstack/statekv"
+	"robinstack/steward"
 	"robinstack/worker"
 )
 
@@ -35,6 +36,7 @@
 	homes   map[*fakes.Worker]string // the node that each reports to
 
 	objectives []config.Objective
+	full       int    // tasks that the limit of team full leaves room for
 	limits     [2]int // of values and of transactions, or those of before
 	forgetful  bool   // words to stop or forget tasks get lost
 }
@@ -84,6 +86,21 @@
 		return n.svc.Clearable(args.(agent.Request), reply.(*agent.Sample))
 	case "Agent.Clear":
 		return n.svc.Clear(args.(agent.CommitRequest), reply.(*agent.CommitReply))
+	case "Steward.Permit":
+		// A steward with one limit: team full may have so many tasks on machines.
+		r, out := args.(steward.PermitRequest), reply.(*steward.PermitReply)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, want := range r.Wants {
+			ok := want.Team != "full" || w.full > 0
+			if ok && want.Team == "full" && !r.Probe {
+				w.full--
+			}
+			out.Granted = append(out.Granted, ok)
+		}
+		kv, _ := n.mirror.Get(statekv.StewardKey)
+		out.Epoch = kv.Rev
+		return nil
 	case "Agent.Gatherable":
 		return n.svc.Gatherable(args.(agent.Request), reply.(*agent.Sample))
 	case "Agent.Gather":
@@ -114,7 +131,7 @@
 
 func (w *world) start(host string) *node {
 	w.t.Helper()
-	settings := &config.Settings{Host: host, Peers: []config.Peer{{Host: other(host)}}, Teams: map[string]config.Team{"t": {Name: "t"}}, Zones: []string{"a", "b"}, Objectives: w.objectives,
+	settings := &config.Settings{Host: host, Peers: []config.Peer{{Host: other(host)}}, Teams: map[string]config.Team{"t": {Name: "t"}, "full": {Name: "full", CPUsMax: 100}}, Zones: []string{"a", "b"}, Objectives: w.objectives,
 		Workers: config.Workers{Report: 3 * time.Second, Lease: 30 * time.Second, GangWait: 45 * time.Second, CancelGone: 60 * time.Second},
 		State:   config.State{RPS: 100, WriteRPS: 50, ValueBytes: 8192, TxnOps: 24}}
 	if w.limits[0] > 0 {
--- a/rollout/story_test.go
+++ b/rollout/story_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,8 @@
 	state *fakes.State
 	lives map[string]*life
 	pace  float64 // changes a second of a move
+
+	learned atomic.Int64
 }
 
 type life struct {
@@ -79,7 +82,7 @@
 	pol := policy.Default()
 	pol.RolloutSoak = soak
 	l.gate = rollout.NewGate(hosts, pol, mirror, member, f.state, isSteward)
-	mover := rollout.NewMover(f.state, mirror, member, isSteward, 24, f.pace)
+	mover := rollout.NewMover(learning{f.state, &f.learned}, mirror, member, isSteward, 24, f.pace)
 	go mirror.Run(ctx)
 	go func() { l.ended <- member.Keep(ctx) }()
 	go l.gate.Run(ctx)
@@ -97,6 +100,26 @@
 	f.write(statekv.Op{Delete: statekv.NodePrefix + host})
 }
 
+// lower has the state service take no more than so many changes from now on, and the
+// movers' clients learn that from the first refusal.
+func (f *fleet) lower(ops int) {
+	f.learned.Store(int64(ops))
+	f.state.Limit(2048, ops)
+}
+
+// learning is the state service as a client sees it that learns how many changes it takes.
+type learning struct {
+	*fakes.State
+	most *atomic.Int64
+}
+
+func (l learning) Most(ops int) int {
+	if most := int(l.most.Load()); most > 0 {
+		return min(most, ops)
+	}
+	return ops
+}
+
 func (f *fleet) write(ops ...statekv.Op) {
 	f.t.Helper()
 	if _, err := f.state.Txn(f.ctx, nil, ops); err != nil {
@@ -402,6 +425,7 @@
 		if err := f.start("host-1", true); err != nil { // which is steward now
 			t.Fatal(err)
 		}
+		f.lower(5) // the limits, in the middle of it
 		took, rate := wait("the move", func() bool { return count(ended.Prefix) == jobs-1 })
 		if t.Logf("the second half of %d records took %v, %.1f changes a second", jobs, took, rate); rate > 9 {
 			t.Errorf("%.1f changes a second", rate)
