--- /dev/null
+++ b/steward/reserve_test.go
@@ -0,0 +1,75 @@
+package steward
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/job"
+)
+
+// At a team's limit of 10 GPUs small jobs take each GPU that comes free. What comes free
+// below the limit is kept for a job of 8 that starves, until it has all it needs; of two
+// such for the one that could start earlier; and it is given back 4 s after its placer
+// asked last.
+func TestRoomBelowALimitIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newSteward(t, t.Context())
+		s.settled, s.cleared["m1"] = true, true
+		permit := func(id string, index, gpus int, release ...agent.TaskRef) bool {
+			t.Helper()
+			var reply PermitReply
+			want := Want{Ref: agent.TaskRef{Job: id, Index: index, Attempt: 1}, Team: "t", Need: job.Need{GPUs: float64(gpus)}}
+			if err := NewService(s).Permit(PermitRequest{Slot: "s", Epoch: 1, Wants: []Want{want}, Release: release}, &reply); err != nil {
+				t.Fatal(err)
+			}
+			return reply.Granted[0]
+		}
+		reserve := func(id string, since int64) bool {
+			t.Helper()
+			var reply PermitReply
+			if err := NewService(s).Permit(PermitRequest{Slot: "s", Epoch: 1, Reserve: &Reservation{Job: id, Team: "t", Need: job.Need{GPUs: 8}, Since: since}}, &reply); err != nil {
+				t.Fatal(err)
+			}
+			return reply.Reserved
+		}
+		small := func(k int) agent.TaskRef { return agent.TaskRef{Job: fmt.Sprintf("wk-%d", k), Attempt: 1} }
+		for k := range 10 {
+			if !permit(small(k).Job, 0, 1) {
+				t.Fatal(k)
+			}
+		}
+		if reserve("wk-90", 2000) {
+			t.Fatal("all of the limit is in use")
+		}
+		for k := range 8 { // they end one by one, and others like them wait
+			if permit(fmt.Sprintf("wk-5%d", k), 0, 1, small(k)) {
+				t.Fatalf("a small job took what is kept, with %d free", k+1)
+			}
+		}
+		if !reserve("wk-90", 2000) || !permit("wk-90", 0, 8) {
+			t.Fatal("it has all it needs, and does not get it")
+		}
+		s.kept = map[string]reserved{}
+		s.ledger.release(agent.TaskRef{Job: "wk-90", Attempt: 1})
+		// Two at once: the one that could start earlier, whichever asks first.
+		reserve("wk-91", 3000)
+		if !reserve("wk-92", 1000) || reserve("wk-91", 3000) {
+			t.Fatal("the later one has it")
+		}
+		if permit("wk-91", 0, 8) || !permit("wk-92", 0, 8, small(8)) {
+			t.Fatal("the later one got it")
+		}
+		s.ledger.release(agent.TaskRef{Job: "wk-92", Attempt: 1})
+		time.Sleep(reserveFor / 2)
+		if permit("wk-60", 0, 5) {
+			t.Fatal("given back too early")
+		}
+		s.kept["t"] = reserved{s.kept["t"].Reservation, time.Now()} // as after reserveFor
+		if !permit("wk-60", 0, 5) {
+			t.Fatal("kept for nobody")
+		}
+	})
+}
