--- /dev/null
+++ b/placer/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package placer_test
+
+func init() { racing = true }
