--- a/placer/begin_test.go
+++ b/placer/begin_test.go
@@ -14,12 +14,11 @@
 // faster than they end, for as long as it is run.
 type busy struct {
 	*world
-	n      *node
-	rank   string
-	came   int
-	began  map[string]time.Time // of tasks on machines
-	lasts  time.Duration        // of each small task
-	others int                  // tasks of other jobs that were started
+	n     *node
+	rank  string
+	came  int
+	began map[string]time.Time // of tasks on machines
+	lasts time.Duration        // of each small task
 }
 
 // pass lets time pass with small jobs coming and ending.
--- a/placer/pipelines_test.go
+++ b/placer/pipelines_test.go
@@ -335,7 +335,7 @@
 		pieces := len(w.state.Dir(job.PiecePrefix))
 		w.crash(n, 1)
 		time.Sleep(40 * time.Second)
-		n = w.start("host-1")
+		w.start("host-1")
 		w.run(10 * time.Second)
 		if len(w.starts()) <= 4 || pieces == 0 {
 			t.Fatalf("%d pieces; it did not go on: %v", pieces, w.starts())
