One fetch time, one check of who may keep a machine; what nothing used is gone

Read through once more: controller had the placer's loop for how long an image takes (now Spec.FetchTime), Gather the checks of Clear (keepable), a prefix two names, the gateway two for one look-up; a struct around a moment, fields and a list that nothing read. Behaviour is as it was.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -35,18 +35,18 @@
 	ctx      context.Context
 	machines map[string]*machine
 	voided   map[TaskRef]time.Time
-	unread   map[string]bool   // jobs whose records have to be read
-	odd      map[string]bool   // machines whose reports were refused, to log it once
-	buried   map[string]buried // machines whose keys were removed lately
-	shards   map[string]uint64 // shards held, with their keys' revisions
-	home     []string          // those that take new machines
-	claiming map[string]bool   // machines in the queue of claims
-	released map[string]uint64 // machines given up, with the revision of our ownership
-	visits   map[string]visit  // workers that keep coming though their owner lives
-	seen     map[string]sight  // shards as seen last, and since when
-	homeless map[int]bool      // places for which there was no home shard when a machine came
-	gens     map[int]int       // how often this life had to make a shard for each place
-	calledIn bool              // whether the workers were, in the present outage
+	unread   map[string]bool      // jobs whose records have to be read
+	odd      map[string]bool      // machines whose reports were refused, to log it once
+	buried   map[string]time.Time // machines whose keys were removed lately
+	shards   map[string]uint64    // shards held, with their keys' revisions
+	home     []string             // those that take new machines
+	claiming map[string]bool      // machines in the queue of claims
+	released map[string]uint64    // machines given up, with the revision of our ownership
+	visits   map[string]visit     // workers that keep coming though their owner lives
+	seen     map[string]sight     // shards as seen last, and since when
+	homeless map[int]bool         // places for which there was no home shard when a machine came
+	gens     map[int]int          // how often this life had to make a shard for each place
+	calledIn bool                 // whether the workers were, in the present outage
 	sent     map[string]time.Time
 	zoneSize map[string]int // machines of the fleet, by zone
 	rooms    *rooms         // the machines by what is free on them
@@ -69,7 +69,7 @@
 	return &Agent{
 		settings: settings, store: store, mirror: mirror, member: member, workers: workers, types: types,
 		claims: make(chan claim, 256), learns: make(chan struct{}, 1),
-		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, odd: map[string]bool{}, buried: map[string]buried{}, claiming: map[string]bool{}, released: map[string]uint64{}, visits: map[string]visit{}, seen: map[string]sight{}, gens: map[int]int{}, homeless: map[int]bool{}, sent: map[string]time.Time{}, rooms: newRooms(), changed: make(chan struct{}),
+		machines: map[string]*machine{}, voided: map[TaskRef]time.Time{}, unread: map[string]bool{}, odd: map[string]bool{}, buried: map[string]time.Time{}, claiming: map[string]bool{}, released: map[string]uint64{}, visits: map[string]visit{}, seen: map[string]sight{}, gens: map[int]int{}, homeless: map[int]bool{}, sent: map[string]time.Time{}, rooms: newRooms(), changed: make(chan struct{}),
 	}
 }
 
@@ -490,7 +490,7 @@
 		return false
 	}
 	if m.lost > 0 {
-		m.heardOf()
+		m.lost = 0
 		a.touch(m)
 	}
 	if report.Token > m.token() {
--- a/agent/clear.go
+++ b/agent/clear.go
@@ -170,6 +170,16 @@
 	return nil
 }
 
+// keepable returns the machine that a placer asks to have kept for a job, or nil where it
+// or this owner is not the latest. The mutex is held.
+func (a *Agent) keepable(r *CommitRequest) *machine {
+	m := a.machines[r.Machine]
+	if m == nil || m.rev != r.Rev || !a.member.Certain() || !a.current(statekv.SlotPrefix+r.Slot, r.Epoch) {
+		return nil
+	}
+	return m
+}
+
 // Clear stops tasks of lower priority on a machine and keeps it for the job.
 func (s *Service) Clear(r CommitRequest, reply *CommitReply) error {
 	a := s.agent
@@ -177,8 +187,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	reply.Verdicts = []string{Refused}
-	m := a.machines[r.Machine]
-	if m == nil || m.rev != r.Rev || !a.member.Certain() || !a.current(statekv.SlotPrefix+r.Slot, r.Epoch) {
+	m := a.keepable(&r)
+	if m == nil {
 		return nil
 	}
 	stop, cost, ok := a.victims(m, &r.Request, now)
--- a/agent/gather.go
+++ b/agent/gather.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"robinstack/job"
-	"robinstack/statekv"
 	"robinstack/worker"
 )
 
@@ -112,8 +111,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	reply.Verdicts = []string{Refused}
-	m := a.machines[r.Machine]
-	if m == nil || m.rev != r.Rev || !a.member.Certain() || !a.current(statekv.SlotPrefix+r.Slot, r.Epoch) || a.gatherable(m, &r.Request, now) != "" {
+	m := a.keepable(&r)
+	if m == nil || a.gatherable(m, &r.Request, now) != "" {
 		return nil
 	}
 	m.claim(&r.Request, now, gatherFor)
--- a/agent/late_test.go
+++ b/agent/late_test.go
@@ -142,7 +142,7 @@
 			t.Fatal("its key was not removed")
 		}
 		for _, n := range []*node{a, b} { // as the controller's watch tells
-			n.agent.OnRemoved(statekv.Event{Delete: key})
+			n.agent.OnRemoved("m1")
 		}
 		for range 60 {
 			a.agent.Report(ctx, &last)
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -177,7 +177,7 @@
 	return m.lost >= deafAfter && now.Sub(m.lostAt) >= deafFor
 }
 
-// unheard notes that a command had no answer, and heardOf that one had.
+// unheard notes that a command had no answer.
 func (m *machine) unheard(now time.Time) {
 	if m.lost == 0 {
 		m.lostAt = now
@@ -185,8 +185,6 @@
 	m.lost++
 }
 
-func (m *machine) heardOf() { m.lost = 0 }
-
 // put and drop keep the tasks and what is known of the machine's room together.
 func (m *machine) put(key taskKey, t *task) {
 	m.tasks[key] = t
@@ -285,7 +283,7 @@
 	m.session, m.seq, m.heard, m.silent = r.Session, r.Seq, now, false
 	m.seenToken = max(m.seenToken, r.Token)
 	if m.lost > 0 && !m.unfenced() {
-		m.heardOf() // it has seen our latest token: answers reach it
+		m.lost = 0 // it has seen our latest token: answers reach it
 		changed = true
 	}
 	if r.NoticeS != nil && m.noticeAt.IsZero() {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -111,8 +111,8 @@
 				pl.OnJobEvent(e)
 			} else if slot, ok := strings.CutPrefix(e.Set, statekv.SlotPrefix); ok {
 				ag.SlotMoved(slot)
-			} else if strings.HasPrefix(e.Delete, statekv.MachinePrefix) {
-				ag.OnRemoved(e)
+			} else if machine, ok := strings.CutPrefix(e.Delete, statekv.MachinePrefix); ok {
+				ag.OnRemoved(machine)
 			} else {
 				c.gateway.OnEnded(e.Set, e.Value)
 			}
@@ -207,13 +207,7 @@
 
 // takes is about how long a job takes once it is ready.
 func (c *Controller) takes(spec *job.Spec) time.Duration {
-	slowest := 0.0
-	for _, t := range c.catalogue.Types() {
-		if t.FetchGBPerS > 0 && spec.AllowsType(t.Name) && spec.Fits(job.Capacity(t)) {
-			slowest = max(slowest, spec.ImageGB/t.FetchGBPerS)
-		}
-	}
-	return config.Seconds(spec.EstimateS+slowest) + stageOverhead
+	return config.Seconds(spec.EstimateS) + spec.FetchTime(c.catalogue.Types()) + stageOverhead
 }
 
 // share divides what the state service allows among the controllers that live:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -190,9 +190,7 @@
 }
 
 // Final returns the record of a job that is over, if it was read here lately.
-func (g *Gateway) Final(id string) (ended.Record, bool) { return g.final(id) }
-
-func (g *Gateway) final(id string) (ended.Record, bool) {
+func (g *Gateway) Final(id string) (ended.Record, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f, ok := g.finals[id]
@@ -269,12 +267,12 @@
 
 // lookup finds a job's status.
 func (g *Gateway) lookup(ctx context.Context, id string) (jobStatus, error) {
-	if f, ok := g.final(id); ok {
+	if f, ok := g.Final(id); ok {
 		return finalStatus(id, f), nil
 	}
 	kv, err := g.openRecord(ctx, id)
 	if errors.Is(err, statekv.ErrNotFound) {
-		if f, ok := g.final(id); ok {
+		if f, ok := g.Final(id); ok {
 			return finalStatus(id, f), nil
 		}
 		f, err := g.finder.Find(ctx, g.fence, id, g.keepFinal)
@@ -374,7 +372,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Context(), 3500*time.Millisecond)
 	defer cancel()
-	if f, ok := g.final(spec.ID); ok {
+	if f, ok := g.Final(spec.ID); ok {
 		return c.JSON(finalStatus(spec.ID, f))
 	}
 	if l.cutOff(time.Now()) {
@@ -440,7 +438,7 @@
 	if !job.ValidID(id) {
 		return fail(c, fiber.StatusNotFound, "no such job")
 	}
-	if f, ok := g.final(id); ok {
+	if f, ok := g.Final(id); ok {
 		return c.JSON(finalStatus(id, f))
 	}
 	// Beyond what can be answered in time, queries are refused at once:
@@ -480,7 +478,7 @@
 		return c.JSON(fiber.Map{"id": id, "status": f.Status})
 	}
 	for range 4 {
-		if f, ok := g.final(id); ok {
+		if f, ok := g.Final(id); ok {
 			return answer(f)
 		}
 		l := g.life.Load()
--- a/job/job.go
+++ b/job/job.go
@@ -250,6 +250,18 @@
 	return s.AllowsType(typeName) && (s.Zone == nil || *s.Zone == zone) && (s.Spot || !spot)
 }
 
+// FetchTime is how long the job's image usually takes, by the slowest machine type that it
+// may use.
+func (s *Spec) FetchTime(types map[string]cloud.MachineType) time.Duration {
+	slowest := 0.0
+	for _, t := range types {
+		if t.FetchGBPerS > 0 && s.AllowsType(t.Name) && s.Fits(Capacity(t)) {
+			slowest = max(slowest, s.ImageGB/t.FetchGBPerS)
+		}
+	}
+	return config.Seconds(slowest)
+}
+
 // NeverRuns says why the job can never run, or nothing.
 func (s *Spec) NeverRuns(types map[string]cloud.MachineType, teams map[string]config.Team) string {
 	if slices.Contains(s.WaitsOn, s.ID) {
--- a/job/pieces.go
+++ b/job/pieces.go
@@ -20,9 +20,6 @@
 // PiecePrefix is the prefix of the keys of pieces.
 const PiecePrefix = "robin/spec/"
 
-// PartPrefix is that of chunks of finished tasks.
-const PartPrefix = partPrefix
-
 // PieceKey names a key with a part of a job's spec.
 func PieceKey(id string, k int) string { return fmt.Sprintf("%s%s/%d", PiecePrefix, id, k) }
 
--- a/job/record.go
+++ b/job/record.go
@@ -14,7 +14,7 @@
 // apart, so that adopting a slot never reads the whole past.
 const (
 	OpenPrefix = "robin/job/"
-	partPrefix = "robin/part/"
+	PartPrefix = "robin/part/"
 )
 
 // RecordForm is the form of job records that this build writes and reads.
@@ -75,7 +75,7 @@
 func OpenKey(id string) string { return OpenPrefix + id }
 
 // PartKey names the key with a later chunk of a job's finished tasks.
-func PartKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", partPrefix, id, chunk) }
+func PartKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", PartPrefix, id, chunk) }
 
 // ChunkTasks is how many tasks one chunk of finished tasks covers: in base64
 // it stays well under half of any value limit, beside the spec.
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -28,14 +28,9 @@
 type Node struct {
 	ID    string
 	Needs []string // jobs that it waits for
-	Tasks int
 	Rank  string
 	Due   time.Time     // when it should be complete; zero: no deadline
 	Takes time.Duration // about how long it takes once it is ready
-	From  time.Time     // when it was submitted
-
-	// Bad says why its record cannot be read: it is left alone.
-	Bad string
 }
 
 // Snapshot is one look at the records.
--- a/pipeline/tracker.go
+++ b/pipeline/tracker.go
@@ -112,9 +112,9 @@
 	if len(rec.Spec.WaitsOn) == 0 {
 		return
 	}
-	n := &Node{ID: id, Needs: rec.Spec.WaitsOn, Tasks: rec.Spec.Tasks, Rank: rec.Spec.Rank, Takes: t.takes(&rec.Spec), From: rec.SubmittedAt()}
+	n := &Node{ID: id, Needs: rec.Spec.WaitsOn, Rank: rec.Spec.Rank, Takes: t.takes(&rec.Spec)}
 	if due := rec.Spec.Due(); rec.Spec.DeadlineS != nil {
-		n.Due = n.From.Add(due)
+		n.Due = rec.SubmittedAt().Add(due)
 	}
 	t.nodes[id] = n
 	t.changes++
@@ -225,17 +225,6 @@
 	return u, ok
 }
 
-// Names lists the open jobs that wait, or waited, for others.
-func (t *Tracker) Names() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []string
-	for id := range t.nodes {
-		out = append(out, id)
-	}
-	return out
-}
-
 // tryBadAgain is after how long a damaged record is read again: a person may have
 // written it back.
 const tryBadAgain = 20 * time.Second
--- a/pipeline/tracker_test.go
+++ b/pipeline/tracker_test.go
@@ -232,8 +232,8 @@
 			}
 		}
 		w.write(statekv.Op{Delete: job.OpenKey("wk-1")})
-		if n := len(w.pipes.Names()); n > 0 {
-			t.Error(n)
+		if v, ok := w.pipes.Judge("wk-1"); ok {
+			t.Error(v)
 		}
 	})
 }
--- a/placer/patience.go
+++ b/placer/patience.go
@@ -67,13 +67,7 @@
 // fetchTime is how long the job's image usually takes, by the slowest machine type
 // that it may use.
 func (p *Placer) fetchTime(spec *job.Spec) time.Duration {
-	slowest := 0.0
-	for _, t := range p.types() {
-		if t.FetchGBPerS > 0 && spec.AllowsType(t.Name) && spec.Fits(job.Capacity(t)) {
-			slowest = max(slowest, spec.ImageGB/t.FetchGBPerS)
-		}
-	}
-	return time.Duration(slowest * float64(time.Second))
+	return spec.FetchTime(p.types())
 }
 
 // aimSlack is how long a gang that has to fetch its image may wait and still start
