--- a/fakes/box.go
+++ b/fakes/box.go
@@ -32,12 +32,9 @@
 	stop    context.CancelFunc
 	changed chan struct{}
 
-	mu       sync.Mutex
-	session  uint64
-	seq      uint64
-	token    uint64
-	answered time.Time // when the last answered report was sent
-	tasks    map[string]*run
+	mu sync.Mutex
+	lease
+	tasks map[string]*run
 }
 
 func (b *Box) tell() {
@@ -104,27 +101,14 @@
 	if err != nil {
 		return ""
 	}
-	switch resp.StatusCode {
-	case http.StatusOK:
-		var a worker.Answer
-		if json.Unmarshal(body, &a) != nil {
-			return ""
-		}
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		if a.Token >= b.token && report.Session == b.session {
-			b.token, b.answered = a.Token, sent
-			b.carryOut(a.Orders)
-		}
-		return "stay"
-	case http.StatusMisdirectedRequest:
-		var m struct {
-			Home string `json:"home"`
-		}
-		_ = json.Unmarshal(body, &m)
-		return m.Home
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	home, answer := b.take(report.Session, sent, resp.StatusCode, body)
+	if answer != nil {
+		b.token = answer.Token
+		b.carryOut(answer.Orders)
 	}
-	return ""
+	return home
 }
 
 func (b *Box) report() worker.Report {
@@ -152,7 +136,7 @@
 			return
 		}
 		b.mu.Lock()
-		ok := *in.Token >= b.token && *in.Session == b.session
+		ok := b.commands(*in.Token, *in.Session)
 		if ok {
 			if b.token < *in.Token {
 				b.tell()
--- a/fakes/farm.go
+++ b/fakes/farm.go
@@ -175,7 +175,7 @@
 		f.count++
 		ctx, stop := context.WithCancel(f.ctx)
 		b := &Box{farm: f, name: fmt.Sprintf("vm-%06d", f.count), address: ln.Addr().String(), typ: f.types[at], zone: r.Zone, spot: r.Spot,
-			since: time.Now(), ctx: ctx, stop: stop, changed: make(chan struct{}, 1), session: 1, tasks: map[string]*run{}}
+			since: time.Now(), ctx: ctx, stop: stop, changed: make(chan struct{}, 1), lease: lease{session: 1}, tasks: map[string]*run{}}
 		f.boxes[b.name] = b
 		names = append(names, b.name)
 		go b.run(ln)
--- a/fakes/fleet.go
+++ b/fakes/fleet.go
@@ -39,9 +39,52 @@
 	most     int
 	count    int
 	deleted  int
+	broken   map[string]bool // gangs that lost a task with a returned machine
+	done     func(task string)
 }
 
-// Deleted counts the tasks that were on machines when those were returned.
+// OnDone has f called, in a goroutine of its own, at the moment at which a task completes.
+func (f *Fleet) OnDone(do func(task string)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.done = do
+}
+
+// Fits reports whether so many tasks of a job have room now on machines that nothing keeps
+// from serving.
+func (f *Fleet) Fits(spec job.Spec, tasks int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	room := map[string]int{} // by zone
+	for _, u := range f.units {
+		if u.answered.IsZero() || u.Hung || u.Deaf || u.Lost || u.Mute || u.Hold > 0 || u.HoldAnswers > 0 || u.Cut != "" || !spec.Allows(u.typ.Name, u.zone, false) {
+			continue
+		}
+		free := job.Capacity(u.typ)
+		for _, p := range u.pieces {
+			if id, _, _ := job.SplitTaskID(p.task.ID); p.task.State != worker.Ended {
+				if s, known := f.history.Spec(id); known {
+					free = free.Add(s.Need, -1)
+				}
+			}
+		}
+		room[u.zone] += spec.Need.Count(free)
+	}
+	sum, most := 0, 0
+	for _, n := range room {
+		if spec.Spread {
+			n = min(n, (spec.Tasks+1)/2)
+		}
+		sum, most = sum+n, max(most, n)
+	}
+	if spec.OneZone {
+		sum = most
+	}
+	return sum >= tasks
+}
+
+// Deleted counts the tasks that were on machines when those were returned. A gang that
+// loses one of its tasks loses all, so all of its attempt count, once.
 func (f *Fleet) Deleted() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -50,26 +93,26 @@
 
 // Unit is a machine with its worker. The fleet's mutex guards it.
 type Unit struct {
-	fleet    *Fleet
-	name     string
-	typ      cloud.MachineType
-	zone     string
-	session  uint64
-	seq      uint64
-	token    uint64
-	answered time.Time // when the last answered report was sent
-	pieces   map[string]*piece
-	ctx      context.Context
-	stop     context.CancelFunc
-	changed  chan struct{}
+	lease
+	fleet   *Fleet
+	name    string
+	typ     cloud.MachineType
+	zone    string
+	pieces  map[string]*piece
+	ctx     context.Context
+	stop    context.CancelFunc
+	changed chan struct{}
 
 	Hung        bool            // it does nothing, and may go on within its lease
 	Deaf        bool            // its reports arrive; answers and direct commands to it are lost
 	Lost        bool            // direct commands to it are lost; answers to its reports arrive
+	Mute        bool            // its reports reach nobody; direct commands to it are carried out
 	Hold        time.Duration   // direct commands and their answers are held up for so long
 	HoldAnswers time.Duration   // answers to its reports are held up for so long
 	Cut         string          // the only controller that does not reach it directly
+	Carried     int             // direct commands that were carried out
 	late        []worker.Report // reports that came, for copies
+	kept        *worker.Report  // one that is kept for later
 }
 
 // piece is a task on a machine.
@@ -86,7 +129,7 @@
 // a worker's report to a controller.
 func NewFleet(ctx context.Context, settings *config.Settings, types []cloud.MachineType, most int, seed uint64, h *History, ask func(host string, r *http.Request) (*http.Response, error)) *Fleet {
 	return &Fleet{ctx: ctx, settings: settings, types: types, most: most, history: h, ask: ask, rng: rand.New(rand.NewPCG(seed, 2)),
-		units: map[string]*Unit{}, requests: map[string][]string{}, gangs: map[string]map[string]*piece{}, runs: map[string][2]time.Duration{}}
+		units: map[string]*Unit{}, requests: map[string][]string{}, gangs: map[string]map[string]*piece{}, broken: map[string]bool{}, runs: map[string][2]time.Duration{}}
 }
 
 // Runs says how long the first task of a job runs, and by how much each of the others runs
@@ -106,8 +149,19 @@
 	}
 }
 
+// Offer has the cloud offer other types from now on.
+func (f *Fleet) Offer(types []cloud.MachineType) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.types = types
+}
+
 // MachineTypes, Rent, Delete and Machines are the cloud's.
-func (f *Fleet) MachineTypes(context.Context) ([]cloud.MachineType, error) { return f.types, nil }
+func (f *Fleet) MachineTypes(context.Context) ([]cloud.MachineType, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.types, nil
+}
 
 func (f *Fleet) Rent(_ context.Context, r cloud.Rental) ([]string, error) {
 	f.mu.Lock()
@@ -122,7 +176,7 @@
 	var names []string
 	for range min(r.Count, f.most-len(f.units)) {
 		f.count++
-		u := &Unit{fleet: f, name: fmt.Sprintf("vm-%06d", f.count), typ: f.types[at], zone: r.Zone, session: 1, pieces: map[string]*piece{}, changed: make(chan struct{}, 1)}
+		u := &Unit{fleet: f, name: fmt.Sprintf("vm-%06d", f.count), typ: f.types[at], zone: r.Zone, lease: lease{session: 1}, pieces: map[string]*piece{}, changed: make(chan struct{}, 1)}
 		u.ctx, u.stop = context.WithCancel(f.ctx)
 		f.units[u.name] = u
 		names = append(names, u.name)
@@ -135,16 +189,31 @@
 	return names, nil
 }
 
+func (f *Fleet) isGang(id string) bool {
+	spec, _ := f.history.Spec(id)
+	return spec.Shape == job.Gang
+}
+
 func (f *Fleet) Delete(_ context.Context, names []string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, name := range names {
 		if u := f.units[name]; u != nil {
 			for _, p := range u.pieces {
-				if p.counted {
+				if p.counted && !f.broken[p.group] {
 					f.deleted++
 				}
 			}
+			for _, p := range u.pieces {
+				if id, _, _ := job.SplitTaskID(p.task.ID); p.counted && !f.broken[p.group] && f.isGang(id) {
+					f.broken[p.group] = true
+					for _, other := range f.gangs[p.group] {
+						if u.pieces[fmt.Sprint(other.task.ID, " ", other.task.Attempt)] != other {
+							f.deleted++
+						}
+					}
+				}
+			}
 			u.clear()
 			u.stop()
 			delete(f.units, name)
@@ -238,7 +307,12 @@
 	if u.late = append(u.late, r); len(u.late) > 20 {
 		u.late = u.late[1:]
 	}
+	mute := u.Mute
 	f.mu.Unlock()
+	if mute {
+		sleep(u.ctx, answerWait)
+		return ""
+	}
 	code, body := u.send(host, &r)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -250,25 +324,11 @@
 	if u.Deaf || u.Hung || time.Since(sent) > answerWait {
 		return ""
 	}
-	switch code {
-	case http.StatusOK:
-		var a worker.Answer
-		if json.Unmarshal(body, &a) != nil {
-			return ""
-		}
-		if a.Token >= u.token && r.Session == u.session {
-			u.answered = sent
-			u.carryOut(a.Token, a.Orders)
-		}
-		return "stay"
-	case http.StatusMisdirectedRequest:
-		var m struct {
-			Home string `json:"home"`
-		}
-		_ = json.Unmarshal(body, &m)
-		return m.Home
+	home, answer := u.take(r.Session, sent, code, body)
+	if answer != nil {
+		u.carryOut(answer.Token, answer.Orders)
 	}
-	return ""
+	return home
 }
 
 func (u *Unit) send(host string, r *worker.Report) (code int, body []byte) {
@@ -313,6 +373,36 @@
 	}
 }
 
+// Keep keeps the latest report for later, if there was one.
+func (u *Unit) Keep() {
+	if len(u.late) > 0 {
+		r := u.late[len(u.late)-1]
+		u.kept = &r
+	}
+}
+
+// SendKept sends the report that was kept to a controller, and returns what it was
+// answered with, which reaches nobody; 0: nothing, or none was kept. It is not to be called
+// from Each.
+func (u *Unit) SendKept(host string) (code int) {
+	u.fleet.mu.Lock()
+	r := u.kept
+	u.fleet.mu.Unlock()
+	if r == nil {
+		return 0
+	}
+	code, _ = u.send(host, r)
+	return code
+}
+
+// Session is the worker's.
+func (u *Unit) Session() uint64 { return u.session }
+
+// Lists reports whether the kept report lists a task that has not ended.
+func (u *Unit) Lists(task string) bool {
+	return u.kept != nil && slices.ContainsFunc(u.kept.Tasks, func(t worker.Task) bool { return t.ID == task && t.State != worker.Ended })
+}
+
 // next is the worker's next report. The fleet's mutex is held.
 func (u *Unit) next() worker.Report {
 	u.seq++
@@ -357,8 +447,9 @@
 		for u.ctx.Err() == nil {
 			f.mu.Lock()
 			if !u.Hung {
-				ok := token >= u.token && session == u.session
+				ok := u.commands(token, session)
 				if ok {
+					u.Carried++
 					u.carryOut(token, orders)
 				}
 				done <- outcome{u.next(), ok}
@@ -579,6 +670,9 @@
 			}
 			f.history.Complete(p.task.ID)
 			u.end(p, worker.Done)
+			if f.done != nil {
+				go f.done(p.task.ID)
+			}
 		}
 	case worker.Saving:
 		if now.Sub(p.since) > p.saves {
--- a/fakes/history.go
+++ b/fakes/history.go
@@ -24,7 +24,21 @@
 	used   map[string]job.Need
 	broken []string
 	starts int
+	after  int // starts of tasks after their jobs were told as cancelled
 	stayed []time.Duration
+	order  Moment
+}
+
+// Moment orders questions and answers, also within one instant of fake time: an answer
+// received at one is older than a question asked at a later one.
+type Moment uint64
+
+// Asking is the moment of a question that a user is about to ask.
+func (h *History) Asking() Moment {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.order++
+	return h.order
 }
 
 // past is what is known of a job.
@@ -32,12 +46,18 @@
 	spec     job.Spec
 	accepted bool
 	since    time.Time // since when it is
+	known    Moment    // when its user was told so
 	asked    bool      // its user asked for its cancellation
 	told     time.Time // when it was told as cancelled
 	done     bool      // told as done
-	doneAt   time.Time
+	final    Moment    // when it was told as either
 	complete map[int]bool
 	answered time.Time // when a question about it was last answered
+	unfit    bool      // it can't run, or lacks a field
+	begun    bool      // a task of it was on a machine
+	ready    time.Time // since when it could start, as seen by Look
+	room     time.Time // since when, without a break, it waits while there is room
+	late     bool      // that was noted
 }
 
 // stay is a task on a machine.
@@ -77,6 +97,14 @@
 	return slices.Sorted(slices.Values(h.stayed))
 }
 
+// StartsAfterCancel counts the starts of tasks after their jobs were told as cancelled. In
+// cancel_s they break no rule; the fewer the better.
+func (h *History) StartsAfterCancel() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.after
+}
+
 // Starts counts the starts of tasks, and On the tasks of a job that are on machines.
 func (h *History) Starts() int {
 	h.mu.Lock()
@@ -95,6 +123,18 @@
 	return n
 }
 
+// Where is the machine that a job's first task found is on, or "".
+func (h *History) Where(id string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, task := range slices.Sorted(maps.Keys(h.on)) {
+		if of, _, _ := job.SplitTaskID(task); of == id {
+			return h.on[task].machine
+		}
+	}
+	return ""
+}
+
 // Jobs lists the jobs that were accepted.
 func (h *History) Jobs() []string {
 	h.mu.Lock()
@@ -138,11 +178,21 @@
 	}
 }
 
-// Told takes an answer about a job: verb is "submit", "query" or "cancel". What was asked
-// before the job's end was told may be answered as of then.
-func (h *History) Told(verb, id string, sent time.Time, code int, status string) {
+// OffersUnfit notes that a user is about to submit what can never run, or lacks a field.
+func (h *History) OffersUnfit(spec job.Spec) {
+	h.Offers(spec)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.jobs[spec.ID].unfit = true
+}
+
+// Told takes an answer about a job as it is received: verb is "submit", "query" or
+// "cancel", and asked the moment of the question. What was asked before the user had an
+// answer may be answered as of then; of two that overlap, neither is the older one.
+func (h *History) Told(verb, id string, asked Moment, code int, status string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.order++
 	p := h.jobs[id]
 	if p == nil {
 		if code == 200 {
@@ -151,7 +201,7 @@
 		return
 	}
 	switch {
-	case code == 404 && p.accepted:
+	case code == 404 && p.accepted && asked > p.known:
 		h.breaks("forgotten", "%s is unknown", id)
 	case verb == "submit" && (code == 400 || code == 422) && p.accepted:
 		h.breaks("forgotten", "%s is refused with %d when submitted again", id, code)
@@ -162,8 +212,11 @@
 	if !h.calm.IsZero() && p.accepted && time.Since(p.answered) > forgottenAfter {
 		h.breaks("forgotten", "no question about %s was answered for %v", id, time.Since(p.answered))
 	}
+	if p.unfit && verb != "cancel" {
+		h.breaks("unfit", "%s is accepted and can't run, or lacks a field", id)
+	}
 	if p.answered = time.Now(); !p.accepted {
-		p.accepted, p.since = true, p.answered
+		p.accepted, p.since, p.known = true, p.answered, h.order
 	}
 	switch status {
 	case job.Done:
@@ -174,7 +227,7 @@
 			h.breaks("went_back", "%s is told as done after withdrawn", id)
 		}
 		if !p.done {
-			p.done, p.doneAt = true, time.Now()
+			p.done, p.final = true, h.order
 		}
 	case job.Cancelled:
 		switch {
@@ -183,10 +236,10 @@
 		case p.told.IsZero() && !h.withdrawn(p):
 			h.breaks("went_back", "%s is told as withdrawn and nobody asked for it", id)
 		case p.told.IsZero():
-			p.told = time.Now()
+			p.told, p.final = time.Now(), h.order
 		}
 	default:
-		if p.done && sent.After(p.doneAt) || !p.told.IsZero() && sent.After(p.told) {
+		if p.final > 0 && asked > p.final {
 			h.breaks("went_back", "%s is told as %s after its end", id, status)
 		}
 		for _, before := range p.spec.WaitsOn {
@@ -218,6 +271,9 @@
 		h.breaks("invented", "%s starts and nobody submitted it", task)
 		return
 	}
+	if !p.told.IsZero() {
+		h.after++
+	}
 	if !p.told.IsZero() && time.Since(p.told) > h.settings.Workers.CancelGone {
 		h.breaks("ran_cancelled", "%s starts on %s %v after its user was told", task, machine, time.Since(p.told))
 	}
@@ -242,6 +298,7 @@
 	if p.complete[index] {
 		h.breaks("ran_twice", "%s starts anew although it has completed", task)
 	}
+	p.begun = true
 	h.on[task] = stay{machine, zone, time.Now()}
 	h.used[p.spec.Team] = h.used[p.spec.Team].Add(p.spec.Need, 1)
 	team, use := h.settings.Teams[p.spec.Team], h.used[p.spec.Team]
@@ -320,6 +377,108 @@
 	return ""
 }
 
+// Look is to be called every second or so: it holds jobs that wait against what machines
+// have room for. fits tells whether a job's tasks that are on no machine, or one of an
+// array's, find room now on machines that nothing keeps from serving.
+func (h *History) Look(fits func(spec job.Spec, tasks int) bool) {
+	// The fleet asks the history with its own books held still, so not the other way.
+	for id, w := range h.waiting() {
+		room := w.least > 0 && !w.limited && fits(w.spec, w.least)
+		h.mu.Lock()
+		h.look(id, room)
+		h.mu.Unlock()
+	}
+}
+
+// wait is what a job that is not over waits for.
+type wait struct {
+	spec    job.Spec
+	least   int // tasks that have to find room together; 0: it waits for nothing
+	limited bool
+}
+
+// waiting lists the jobs that are not over and could start.
+func (h *History) waiting() map[string]wait {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[string]wait{}
+	for id, p := range h.jobs {
+		if !p.accepted || p.final > 0 || h.withdrawn(p) || h.waits(p) {
+			p.room = time.Time{}
+			continue
+		}
+		if p.ready.IsZero() {
+			p.ready = time.Now()
+		}
+		n := p.spec.Tasks - len(p.complete)
+		for task := range h.on {
+			if of, k, _ := job.SplitTaskID(task); of == id && !p.complete[k] {
+				n--
+			}
+		}
+		if p.spec.Shape == job.Array {
+			n = min(n, 1)
+		}
+		team, use := h.settings.Teams[p.spec.Team], h.used[p.spec.Team].Add(p.spec.Need, float64(n))
+		limited := team.GPUsMax > 0 && use.GPUs > team.GPUsMax+1e-6 || team.CPUsMax > 0 && use.CPUs > team.CPUsMax+1e-6
+		out[id] = wait{p.spec, n, limited}
+	}
+	return out
+}
+
+// look takes note of whether a job waits although there is room. The mutex is held.
+func (h *History) look(id string, room bool) {
+	p, now := h.jobs[id], time.Now()
+	if !room {
+		p.room = time.Time{}
+	} else if p.room.IsZero() {
+		p.room = now
+	}
+	if h.calm.IsZero() || p.late {
+		return
+	}
+	if since := latest(p.room, h.calm); room && now.Sub(since) > waitsAtMost {
+		p.late = true
+		h.breaks("waits", "%s has waited for %v while a machine has room and its team is under its limit", id, now.Sub(since))
+	}
+	if since := latest(p.ready, h.calm); !p.begun && h.isLargest(p.spec) && now.Sub(since) > beginsWithin {
+		p.late = true
+		h.breaks("largest", "%s, of the largest of its class, has not begun after %v", id, now.Sub(since))
+	}
+}
+
+// Once the troubles are over, a job waits no longer than waitsAtMost while there is room,
+// and the largest of a class begin within beginsWithin.
+const (
+	waitsAtMost  = 90 * time.Second
+	beginsWithin = 4 * time.Minute
+)
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// waits reports whether a job waits for others.
+func (h *History) waits(p *past) bool {
+	return slices.ContainsFunc(p.spec.WaitsOn, func(id string) bool {
+		b := h.jobs[id]
+		return b == nil || len(b.complete) < b.spec.Tasks
+	})
+}
+
+// isLargest reports whether no accepted job of its class has more tasks.
+func (h *History) isLargest(s job.Spec) bool {
+	for _, p := range h.jobs {
+		if p.accepted && p.spec.Class == s.Class && p.spec.Tasks > s.Tasks {
+			return false
+		}
+	}
+	return true
+}
+
 // End holds the end of a day against the rules: once all troubles have been over for
 // long, every accepted job has come to its end, and questions about it are answered.
 func (h *History) End() {
--- a/fakes/history_test.go
+++ b/fakes/history_test.go
@@ -16,7 +16,7 @@
 	settings := &config.Settings{Workers: config.Workers{CancelGone: 60 * time.Second}, Teams: map[string]config.Team{"t": {Name: "t", GPUsMax: 2}}}
 	one := job.Spec{ID: "wk-1", Team: "t", Shape: job.Array, Tasks: 1, Need: job.Need{GPUs: 1}}
 	after := job.Spec{ID: "wk-2", Team: "t", Shape: job.Array, Tasks: 3, Need: job.Need{GPUs: 1}, WaitsOn: []string{"wk-1"}}
-	told := func(h *History, verb, id string, code int, status string) { h.Told(verb, id, time.Now(), code, status) }
+	told := func(h *History, verb, id string, code int, status string) { h.Told(verb, id, h.Asking(), code, status) }
 	accept := func(h *History, specs ...job.Spec) {
 		for _, s := range specs {
 			h.Offers(s)
@@ -28,6 +28,12 @@
 		h.Complete("wk-1/0")
 		h.Leave("wk-1/0", "m1")
 	}
+	look := func(h *History, seconds int, room bool) {
+		for range seconds {
+			h.Look(func(job.Spec, int) bool { return room })
+			time.Sleep(time.Second)
+		}
+	}
 	for rule, plant := range map[string]func(h *History){
 		"": func(h *History) {
 			accept(h, one)
@@ -90,6 +96,62 @@
 			time.Sleep(time.Second)
 			told(h, "query", "wk-1", 200, job.Running)
 		},
+		"went_back at ": func(h *History) { // asked a moment after, in no time
+			accept(h, one)
+			h.Asks("wk-1")
+			told(h, "cancel", "wk-1", 200, job.Cancelled)
+			told(h, "query", "wk-1", 200, job.Queued)
+		},
+		" ": func(h *History) { // asked before the answer came: neither is the older one
+			h.Offers(one)
+			early := h.Asking()
+			told(h, "submit", "wk-1", 201, job.Queued)
+			h.Told("query", "wk-1", early, 404, "")
+			h.Asks("wk-1")
+			early = h.Asking()
+			told(h, "cancel", "wk-1", 200, job.Cancelled)
+			h.Told("query", "wk-1", early, 200, job.Running)
+		},
+		"unfit": func(h *History) {
+			h.OffersUnfit(one)
+			told(h, "submit", "wk-1", 201, job.Queued)
+		},
+		"ran_cancelled  at": func(h *History) { // its machine hung meanwhile
+			accept(h, one)
+			h.Start("wk-1/0", "m1", "box", "a", false)
+			h.Asks("wk-1")
+			told(h, "cancel", "wk-1", 200, job.Cancelled)
+			time.Sleep(61 * time.Second)
+			h.Complete("wk-1/0")
+			h.Leave("wk-1/0", "m1")
+		},
+		"waits": func(h *History) {
+			accept(h, one)
+			h.Calm()
+			look(h, 92, true)
+		},
+		"  ": func(h *History) { // there is room, but not all the time, or its team is at its limit
+			s := one
+			s.ID, s.Tasks, s.Need.GPUs = "wk-3", 1, 2
+			accept(h, one, s)
+			h.Calm()
+			look(h, 80, true)
+			h.Start("wk-1/0", "m1", "box", "a", false)
+			look(h, 1, false)
+			look(h, 100, true)
+		},
+		"   ": func(h *History) { // a start after it was told, and gone in time: it is counted
+			accept(h, one)
+			h.Asks("wk-1")
+			told(h, "cancel", "wk-1", 200, job.Cancelled)
+			h.Start("wk-1/0", "m1", "box", "a", false)
+			h.Leave("wk-1/0", "m1")
+		},
+		"largest": func(h *History) {
+			accept(h, one)
+			h.Calm()
+			look(h, 242, false)
+		},
 		"went_back at": func(h *History) { accept(h, one); told(h, "query", "wk-1", 200, job.Cancelled) },
 		"too_early":    func(h *History) { accept(h, one, after); h.Start("wk-2/0", "m1", "box", "a", false) },
 		"orphaned": func(h *History) {
@@ -106,9 +168,13 @@
 				h := NewHistory(settings)
 				plant(h)
 				found := strings.Join(h.Broken(), "; ")
-				if rule == "" && found != "" || !strings.Contains(found, strings.TrimSpace(rule)) {
+				name := strings.Join(strings.Fields(rule), " ")
+				if name == "" && found != "" || !strings.Contains(found, name) {
 					t.Errorf("found %q", found)
 				}
+				if n := h.StartsAfterCancel(); (n > 0) != (rule == "ran_cancelled at" || rule == "   ") {
+					t.Errorf("%d starts after a confirmed cancellation", n)
+				}
 			})
 		})
 	}
--- a/fakes/port.go
+++ b/fakes/port.go
@@ -21,6 +21,9 @@
 	slow         time.Duration
 	late         float64
 	lateBy       time.Duration // 0: drawn
+	atOnce       bool          // what is late is carried out at once: only its answer is lost
+	lost         int           // transactions that were carried out and got no answer
+	sent         int           // changes that were asked for
 	noRenewals   bool
 	lag          time.Duration // by which watches show changes later
 	lateNext     int           // transactions with changes that are late, from the next on
@@ -61,6 +64,28 @@
 	p.lateBy, p.dropsRevokes = d, dropsRevokes
 }
 
+// AtOnce has transactions that would be late carried out at once, or late again: only
+// their answers are lost.
+func (p *Port) AtOnce(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.atOnce = on
+}
+
+// Sent counts the changes that this controller asked for, whatever became of them.
+func (p *Port) Sent() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sent
+}
+
+// LostAnswers counts the transactions that were carried out and got no answer.
+func (p *Port) LostAnswers() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lost
+}
+
 // NoRenewals has the renewals of leases refused, and nothing else.
 func (p *Port) NoRenewals(on bool) {
 	p.mu.Lock()
@@ -205,6 +230,9 @@
 // Txn applies a transaction, or gives no answer and applies it later.
 func (p *Port) Txn(ctx context.Context, when []statekv.Cond, then []statekv.Op) (uint64, error) {
 	statekv.Sent(ctx)
+	p.mu.Lock()
+	p.sent += len(then)
+	p.mu.Unlock()
 	refused, late, err := p.turn(ctx)
 	switch {
 	case err != nil:
@@ -219,6 +247,9 @@
 	if p.lateBy > 0 {
 		after = p.lateBy
 	}
+	if p.atOnce {
+		after = 0
+	}
 	p.mu.Unlock()
 	go func() {
 		time.Sleep(after)
@@ -227,7 +258,11 @@
 				return // the service refuses it
 			}
 		}
-		_, _ = p.State.Txn(context.Background(), when, then)
+		if _, err := p.State.Txn(context.Background(), when, then); err == nil {
+			p.mu.Lock()
+			p.lost++
+			p.mu.Unlock()
+		}
 	}()
 	wait := time.NewTimer(patience)
 	defer wait.Stop()
--- a/meetings/chains_test.go
+++ b/meetings/chains_test.go
@@ -55,9 +55,9 @@
 			s := array(w.id(), 1)
 			s.WaitsOn = []string{first.ID}
 			w.history.Offers(s)
-			sent := time.Now()
+			asked := w.history.Asking()
 			code, status := w.call(w.hosts[k%3], http.MethodPost, "/submissions", wireSpec(s), 5*time.Second)
-			w.history.Told("submit", s.ID, sent, code, status)
+			w.history.Told("submit", s.ID, asked, code, status)
 			if code != 201 {
 				w.t.Fatalf("%s was answered with %d", s.ID, code)
 			}
@@ -71,9 +71,9 @@
 		}
 		time.Sleep(workers.CancelGone - 20*time.Second)
 		for k, id := range ids {
-			sent := time.Now()
+			asked := w.history.Asking()
 			code, status := w.call(w.hosts[k%3], http.MethodGet, "/submissions/"+id, nil, 2*time.Second)
-			w.history.Told("query", id, sent, code, status)
+			w.history.Told("query", id, asked, code, status)
 			if status != job.Cancelled {
 				w.t.Fatalf("%s is told as %d %s", id, code, status)
 			}
--- a/meetings/late_test.go
+++ b/meetings/late_test.go
@@ -127,10 +127,10 @@
 			if step.verb == "cancel" {
 				w.history.Asks(s.ID)
 			}
-			sent := time.Now()
+			asked, sent := w.history.Asking(), time.Now()
 			code, status := w.call("host-1", step.method, step.path, wireSpec(s), 5*time.Second)
 			took := time.Since(sent)
-			w.history.Told(step.verb, s.ID, sent, code, status)
+			w.history.Told(step.verb, s.ID, asked, code, status)
 			if code/100 != 2 || status != step.status || took > time.Second {
 				w.t.Errorf("%s: %d %s after %v", step.verb, code, status, took)
 			}
--- a/meetings/meetings_test.go
+++ b/meetings/meetings_test.go
@@ -36,17 +36,17 @@
 				for range 90 {
 					time.Sleep(time.Second)
 					for _, id := range []string{own.ID, foreign.ID, "wk-999999"} {
-						sent := time.Now()
+						asked := w.history.Asking()
 						code, status := w.call("host-0", "GET", "/submissions/"+id, nil, 2*time.Second)
-						w.history.Told("query", id, sent, code, status)
+						w.history.Told("query", id, asked, code, status)
 						if code == 0 {
 							w.t.Fatalf("a question about %s was not answered at once", id)
 						}
 						answered++
 					}
-					sent := time.Now()
+					asked := w.history.Asking()
 					code, status := w.call("host-0", "POST", "/submissions", wireSpec(late), 5*time.Second)
-					w.history.Told("submit", late.ID, sent, code, status)
+					w.history.Told("submit", late.ID, asked, code, status)
 				}
 				w.port("host-0").Refuse(false)
 				w.hub.set("host-0", false)
--- a/meetings/outage_test.go
+++ b/meetings/outage_test.go
@@ -122,9 +122,9 @@
 func (w *world) cancelSoon(host, id string) bool {
 	w.history.Asks(id)
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		sent := time.Now()
+		asked := w.history.Asking()
 		code, status := w.call(host, "POST", "/submissions/"+id+"/abort", nil, 5*time.Second)
-		w.history.Told("cancel", id, sent, code, status)
+		w.history.Told("cancel", id, asked, code, status)
 		if code == 200 {
 			return status == job.Cancelled
 		}
--- a/meetings/world_test.go
+++ b/meetings/world_test.go
@@ -59,7 +59,7 @@
 
 func (w *world) settings(host string) *config.Settings {
 	s := &config.Settings{Host: host, Controllers: len(w.hosts), Zones: zones, Workers: workers, MaxConnections: 1000,
-		Teams: map[string]config.Team{"t": {Name: "t"}, "full": {Name: "full", GPUsMax: 6}},
+		Teams: map[string]config.Team{"t": {Name: "t"}, "full": {Name: "full", GPUsMax: 6}, "small": {Name: "small", GPUsMax: 4}},
 		State: config.State{RPS: 400, WriteRPS: 200, ValueBytes: 8192, TxnOps: 24}, CloudRPS: 10, CloudListLag: 4 * time.Second}
 	for k, h := range w.hosts {
 		if h == host {
@@ -96,6 +96,7 @@
 			w.start(h)
 		}
 		go w.probe()
+		go w.lookOn()
 		time.Sleep(5 * time.Second)
 		tell(w)
 	})
@@ -179,6 +180,14 @@
 	}
 }
 
+// lookOn has the history look at who waits, all the time.
+func (w *world) lookOn() {
+	for w.ctx.Err() == nil {
+		w.history.Look(w.fleet.Fits)
+		time.Sleep(time.Second)
+	}
+}
+
 // probe is the load balancer's.
 func (w *world) probe() {
 	for w.ctx.Err() == nil {
@@ -221,9 +230,9 @@
 	w.history.Offers(spec)
 	w.fleet.Runs(spec.ID, runs, apart)
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(time.Second) {
-		sent := time.Now()
+		asked := w.history.Asking()
 		code, status := w.call(w.one(host), http.MethodPost, "/submissions", wireSpec(spec), 5*time.Second)
-		w.history.Told("submit", spec.ID, sent, code, status)
+		w.history.Told("submit", spec.ID, asked, code, status)
 		switch code {
 		case 200, 201:
 			go w.ask(spec.ID)
@@ -247,9 +256,9 @@
 func (w *world) ask(id string) {
 	for w.ctx.Err() == nil {
 		time.Sleep(5 * time.Second)
-		sent := time.Now()
+		asked := w.history.Asking()
 		code, status := w.call(w.any(), http.MethodGet, "/submissions/"+id, nil, 2*time.Second)
-		w.history.Told("query", id, sent, code, status)
+		w.history.Told("query", id, asked, code, status)
 		if code == 200 && (status == job.Done || status == job.Cancelled) {
 			return
 		}
@@ -260,9 +269,9 @@
 func (w *world) cancel(host, id string) bool {
 	w.history.Asks(id)
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(time.Second) {
-		sent := time.Now()
+		asked := w.history.Asking()
 		code, status := w.call(w.one(host), http.MethodPost, "/submissions/"+id+"/abort", nil, 5*time.Second)
-		w.history.Told("cancel", id, sent, code, status)
+		w.history.Told("cancel", id, asked, code, status)
 		if code == 200 {
 			return status == job.Cancelled
 		}
