Gateway: a known job is never refused, and its repetition costs no change

Change: what would be refused is looked up first; where the mirror shows the job open, its state is told without a transaction. Measured: TestKnownJobIsNotRefusedWhateverHasChanged and TestRepeatedSubmissionsCostNoChanges fail without it and pass now (0 changes sent). TestCloseLooks (eight states of one controller) and TestWhatCannotRunIsNeverAccepted passed before and pass now.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -379,9 +379,6 @@
 	if l == nil || len(types) == 0 {
 		return later(c, "starting")
 	}
-	if reason := spec.NeverRuns(types, g.settings.Teams); reason != "" {
-		return fail(c, fiber.StatusUnprocessableEntity, reason)
-	}
 	ctx, cancel := context.WithTimeout(c.Context(), 3500*time.Millisecond)
 	defer cancel()
 	if f, ok := g.Final(spec.ID); ok {
@@ -390,6 +387,14 @@
 	if l.cutOff(time.Now()) {
 		return later(c, "cut off from the state service")
 	}
+	if _, open := l.Mirror.Get(job.OpenKey(spec.ID)); open {
+		// A transaction whose conditions fail counts against the limit of changes: none
+		// is needed to tell that a job is known.
+		return g.known(c, ctx, spec.ID)
+	}
+	if reason := spec.NeverRuns(types, g.settings.Teams); reason != "" {
+		return g.refuse(c, ctx, spec.ID, fiber.StatusUnprocessableEntity, reason)
+	}
 	slot, epoch, ok := l.Placer.Home()
 	if !ok {
 		return later(c, "starting")
@@ -402,15 +407,12 @@
 		// may live while such a record exists.
 		level, unchanged := l.Levels.Now()
 		if !level.Takes(rollout.Pipelines) {
-			if _, open := l.Mirror.Get(job.OpenKey(spec.ID)); open {
-				return g.known(c, ctx, spec.ID)
-			}
 			return later(c, "not all controllers know jobs that wait for others yet")
 		}
 		when = append(when, unchanged)
 		if large {
 			if then, err = rec.Split(g.settings.State.ValueBytes, g.settings.State.TxnOps-1); err != nil {
-				return fail(c, fiber.StatusBadRequest, "waits_on or host_kinds: "+err.Error())
+				return g.refuse(c, ctx, spec.ID, fiber.StatusBadRequest, "waits_on or host_kinds: "+err.Error())
 			}
 		}
 	}
@@ -418,7 +420,7 @@
 		slog.Debug("submission undecided", "job", spec.ID, "err", err)
 		return later(c, "undecided")
 	} else if reason != "" {
-		return fail(c, fiber.StatusUnprocessableEntity, reason)
+		return g.refuse(c, ctx, spec.ID, fiber.StatusUnprocessableEntity, reason)
 	}
 	rev, err := writeOnce(ctx, l.Member, when, append(then, statekv.Op{Set: job.OpenKey(spec.ID), Value: rec}))
 	if err == nil {
@@ -435,6 +437,21 @@
 	return g.known(c, ctx, spec.ID)
 }
 
+// refuse answers a submission that would be refused were it new. What it is held against,
+// types of machines, teams and limits, may have changed since the job was accepted, and a
+// known job is never refused.
+func (g *Gateway) refuse(c *fiber.Ctx, ctx context.Context, id string, code int, reason string) error {
+	s, err := g.lookup(ctx, id)
+	switch {
+	case errors.Is(err, statekv.ErrNotFound):
+		return fail(c, code, reason)
+	case err != nil:
+		slog.Debug("submission undecided", "job", id, "err", err)
+		return later(c, "undecided")
+	}
+	return c.JSON(s)
+}
+
 // known answers a submission of a job that is known already.
 func (g *Gateway) known(c *fiber.Ctx, ctx context.Context, id string) error {
 	s, err := g.lookup(ctx, id)
