Meetings: the limits' story says when its parts did not meet

Machines that were few were returned within 4 s as well, so the story showed little. All machines there are now cut off or hang, and at its end it asks for tasks that stayed 5 s.

--- a/meetings/handover_test.go
+++ b/meetings/handover_test.go
@@ -55,9 +55,8 @@
 							time.Sleep(10 * time.Second)
 							cancelled := first[:2]
 							hit := map[string]bool{}
-							for _, s := range cancelled {
-								hit[w.history.Where(s.ID)] = true
-							}
+							// So many that they are waited for, and not returned.
+							w.fleet.Each(func(name string, _ *fakes.Unit) { hit[name] = true })
 							for name := range hit {
 								w.unitOf(name, func(u *fakes.Unit) { set(u, true) })
 							}
@@ -79,15 +78,15 @@
 									w.t.Errorf("%s was not told as cancelled while its machine could not be reached", s.ID)
 								}
 							}
-							if n := len(w.history.Stayed()); back < workersAway && n == 0 {
-								w.t.Error("no task was on a machine after it was told: this shows nothing")
-							}
 							if w.lives() == lives && back != never {
 								w.t.Error("no leader changed: this shows nothing")
 							}
 							bring()
 							w.history.Calm()
 							time.Sleep(4 * time.Minute)
+							if stayed := w.history.Stayed(); back < workersAway && (len(stayed) == 0 || stayed[len(stayed)-1] < 5*time.Second) {
+								w.t.Errorf("tasks stayed for %v after they were told: this shows nothing", stayed)
+							}
 							for _, s := range first[2:] { // the rest of the first ends
 								w.cancel("", s.ID)
 							}
