Cancellation: owners hear of it before the user does

Cause: a controller that told a cancellation left it to watches, its own among them, to have the job's tasks stopped. No rule depends on it. The log line has how long the user waited. Measured: TestOwnersKnowOfACancellationBeforeItsUserDoes and TestNoStartAfterAConfirmedCancellation fail without it and pass now; packages agent, gateway, placer, fakes and controller pass.

--- a/agent/over.go
+++ b/agent/over.go
@@ -60,16 +60,26 @@
 	if len(cancelled) == 0 && len(unclear) == 0 {
 		return
 	}
+	a.stopCancelled(cancelled)
+	for _, m := range a.machines {
+		for _, t := range m.tasks {
+			if unclear[t.ref.Job] {
+				t.verify = true
+				a.unread[t.ref.Job] = true
+			}
+		}
+	}
+	a.learnSoon()
+}
+
+// stopCancelled stops the tasks of jobs that are cancelled. The mutex is held.
+func (a *Agent) stopCancelled(jobs map[string]bool) {
 	for _, m := range a.machines {
 		changed := false
 		for key, t := range m.tasks {
-			switch {
-			case cancelled[t.ref.Job]:
+			if jobs[t.ref.Job] {
 				m.cancel(key, t)
 				changed = true
-			case unclear[t.ref.Job]:
-				t.verify = true
-				a.unread[t.ref.Job] = true
 			}
 		}
 		if changed {
@@ -77,7 +87,22 @@
 			a.touch(m)
 		}
 	}
-	a.learnSoon()
+}
+
+// Cancelled takes note of a cancellation that a user is about to be told, before any watch
+// has shown it: its tasks stop now, and none starts here any more. No rule depends on
+// this: whoever does not hear of it sees it by its watch, or is bounded by the hold time.
+func (a *Agent) Cancelled(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.keepOver(id, time.Now())
+	a.stopCancelled(map[string]bool{id: true})
+}
+
+// Cancelled is Agent.Cancelled, for the controller that tells the user.
+func (s *Service) Cancelled(id string, _ *struct{}) error {
+	s.agent.Cancelled(id)
+	return nil
 }
 
 // Cancels reports whether a change tells of a cancellation, or may do so.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,14 +44,34 @@
 	Clock   *serving.Clock
 }
 
-// telling notes that a user is about to be told of a cancellation, for the owners that
-// count on what this controller says it has told.
-func (l *Life) telling(rev uint64) {
-	if l.Agent != nil {
-		l.Agent.Telling(rev)
+// tellOwners lets owners of machines know of a cancellation, of a revision or 0, that a user
+// is about to be told: this controller's own agent at once, the others within a short
+// time or not at all. Their watches would show it a tenth of a second later, and by then
+// tasks that were fetching their images may have begun.
+func (l *Life) tellOwners(ctx context.Context, id string, rev uint64) {
+	if l.Agent == nil {
+		return
+	}
+	l.Agent.Telling(rev)
+	l.Agent.Cancelled(id)
+	ctx, cancel := context.WithTimeout(ctx, ownersWait)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, host := range l.Member.AliveHosts() {
+		if host != l.Member.Host {
+			calls.Go(func() {
+				if err := l.Call.Call(ctx, host, "Agent.Cancelled", id, &struct{}{}); err != nil {
+					slog.Debug("telling an owner of a cancellation", "host", host, "job", id, "err", err)
+				}
+			})
+		}
 	}
+	calls.Wait()
 }
 
+// ownersWait is how long a user who cancels may wait for owners to hear of it.
+const ownersWait = 100 * time.Millisecond
+
 // Gateway answers HTTP requests.
 type Gateway struct {
 	settings  *config.Settings
@@ -502,6 +522,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Context(), 3500*time.Millisecond)
 	defer cancel()
+	began := time.Now()
 	answer := func(f ended.Record) error {
 		g.keepFinal(id, f)
 		return c.JSON(fiber.Map{"id": id, "status": f.Status})
@@ -526,6 +547,9 @@
 			if err != nil {
 				break
 			}
+			if f.Status == job.Cancelled {
+				l.tellOwners(ctx, id, 0) // it may have been an earlier copy of ours
+			}
 			return answer(f)
 		}
 		if err != nil {
@@ -543,8 +567,8 @@
 		then = append(then, job.DropExtras(id, rec.Spec.Tasks, rec.Pieces, g.store.Most(g.settings.State.TxnOps)-len(then))...)
 		rev, err := writeOnce(ctx, l.Member, []statekv.Cond{{Key: job.OpenKey(id), Rev: kv.Rev}, unchanged}, then)
 		if err == nil {
-			l.telling(rev)
-			slog.Info("cancellation told", "job", id)
+			l.tellOwners(ctx, id, rev)
+			slog.Info("cancellation told", "job", id, "after_ms", time.Since(began).Milliseconds())
 			return answer(f)
 		}
 		if !statekv.IsConflict(err) && !errors.Is(err, statekv.ErrUnknown) {
