Agent: a machine whose reports do not come gets nothing new

Cause: commands that are answered kept a mute machine from counting as silent, so that it went on getting tasks, and lost them with each of its leases. Change: after two thirds of a lease without a report it counts as silent for all who ask whether it serves, until the next one comes. Sooner would take workers that look for a new owner for mute.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -276,6 +276,10 @@
 		// orders that are due, or after the hold time, would renew its lease.
 		return Reply{}, true
 	}
+	if m.toldAt = now; m.mute {
+		m.mute = false
+		a.touch(m)
+	}
 	if r.Token > m.token() {
 		// The worker has seen a successor's token: an answer with ours would
 		// be dropped and keep the worker here while its lease runs out.
@@ -406,6 +410,12 @@
 			// commands do not reach it.
 			quiet = min(quiet, unsettledQuiet)
 		}
+		if !m.mute && m.settled && now.Sub(m.toldAt) > a.settings.Workers.Lease*2/3 {
+			m.mute, changed = true, true
+			if !m.silent && now.Sub(m.heard) <= quiet {
+				slog.Info("machine answers commands, and its reports do not come", "machine", m.name, "for_s", seconds(now.Sub(m.toldAt)))
+			}
+		}
 		if !m.silent && now.Sub(m.heard) > quiet {
 			m.silent, changed = true, true
 			slog.Info("machine is silent", "machine", m.name, "for_s", seconds(now.Sub(m.heard)))
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -85,12 +85,14 @@
 	removing  bool
 	gone      bool
 	silent    bool
+	mute      bool                 // commands reach it, and its reports do not come
 	faulty    bool                 // jobs that run well elsewhere failed here
 	failures  map[string]time.Time // jobs whose tasks failed here, until it is known whose fault it was
 	blamed    map[string]bool      // those that run well elsewhere
 	doneAt    time.Time            // when a task completed here last
 	noticeAt  time.Time            // when the cloud takes it; zero: no notice
 	heard     time.Time
+	toldAt    time.Time // when its latest report came here, or its ownership began
 	answerEnd time.Time // last moment at which anyone may have answered its worker
 	idleSince time.Time
 	ver       uint64
@@ -177,6 +179,15 @@
 	return m.lost >= deafAfter && now.Sub(m.lostAt) >= deafFor
 }
 
+// A machine whose reports reach nobody while commands reach it answers each of them, and
+// loses all its tasks whenever its lease runs out: no answer to a command renews that.
+// After two thirds of a lease without a report it counts as silent too, for all who ask
+// whether it serves: what began there now would soon be killed. Workers that look for their
+// owner after a change find it long before.
+
+// serves reports whether the machine may get work.
+func (m *machine) serves() bool { return !m.silent && !m.mute }
+
 // unheard notes that a command had no answer.
 func (m *machine) unheard(now time.Time) {
 	if m.lost == 0 {
--- a/agent/sample.go
+++ b/agent/sample.go
@@ -19,7 +19,7 @@
 		return "machine is not settled"
 	case m.draining || m.faulty || !m.noticeAt.IsZero():
 		return "machine is being emptied"
-	case m.silent:
+	case !m.serves():
 		return "machine is silent"
 	case m.inDoubt(now):
 		return "machine may be faulty"
--- a/agent/service.go
+++ b/agent/service.go
@@ -286,7 +286,7 @@
 
 func (m *machine) entry(host string, now time.Time) Entry {
 	e := Entry{Machine: m.name, Host: host, Rev: m.rev, Ver: m.ver, Type: m.typeName, Zone: m.zone, Spot: m.spot,
-		Settled: m.settled, Draining: m.draining || m.removing, Silent: m.silent || m.deaf(now), Faulty: m.faulty, Gone: m.gone, Notice: !m.noticeAt.IsZero()}
+		Settled: m.settled, Draining: m.draining || m.removing, Silent: !m.serves() || m.deaf(now), Faulty: m.faulty, Gone: m.gone, Notice: !m.noticeAt.IsZero()}
 	if !m.idleSince.IsZero() {
 		e.Idle = max(time.Millisecond, now.Sub(m.idleSince))
 	}
@@ -323,7 +323,7 @@
 		for _, t := range m.tasks {
 			busy = busy || t.uses()
 		}
-		if r.On && busy && !m.silent && !m.faulty {
+		if r.On && busy && m.serves() && !m.faulty {
 			continue
 		}
 		m.draining = r.On
