--- a/meetings/world_test.go
+++ b/meetings/world_test.go
@@ -79,6 +79,12 @@
 
 // storyWithBoots is a story in which machines boot in so many seconds.
 func storyWithBoots(t *testing.T, seed uint64, bootS float64, tell func(w *world)) {
+	t.Helper()
+	storyOfMachines(t, seed, bootS, 12, tell)
+}
+
+// storyOfMachines is one with up to so many machines.
+func storyOfMachines(t *testing.T, seed uint64, bootS float64, most int, tell func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -91,7 +97,7 @@
 		s := w.settings("host-0")
 		w.history = fakes.NewHistory(s)
 		types := []cloud.MachineType{{Name: "box", CPUs: 8, GPUs: 2, MemoryGB: 64, CacheGB: 100, FetchGBPerS: 1, Price: 2, SpotPrice: 1, BootS: bootS, Zones: zones}}
-		w.fleet = fakes.NewFleet(ctx, s, types, 12, seed, w.history, w.work)
+		w.fleet = fakes.NewFleet(ctx, s, types, most, seed, w.history, w.work)
 		for _, h := range w.hosts {
 			w.start(h)
 		}
