--- a/fakes/history.go
+++ b/fakes/history.go
@@ -71,6 +71,9 @@
 	return &History{settings: settings, began: time.Now(), jobs: map[string]*past{}, on: map[string]stay{}, used: map[string]job.Need{}}
 }
 
+// Began is when the history began.
+func (h *History) Began() time.Time { return h.began }
+
 func (h *History) breaks(rule, format string, args ...any) {
 	h.broken = append(h.broken, fmt.Sprintf("%s at %.1f s: %s", rule, time.Since(h.began).Seconds(), fmt.Sprintf(format, args...)))
 }
--- a/meetings/world_test.go
+++ b/meetings/world_test.go
@@ -297,6 +297,12 @@
 	w.noWork[host] = cut
 }
 
+func (w *world) cutUsers(host string, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noUsers[host] = cut
+}
+
 // id names the next job.
 func (w *world) id() string {
 	w.mu.Lock()
