--- a/fakes/history.go
+++ b/fakes/history.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +28,44 @@
 	after  int // starts of tasks after their jobs were told as cancelled
 	stayed []time.Duration
 	order  Moment
+	trace  []traced
+}
+
+// traced is something that happened, and to which job; "": to all.
+type traced struct {
+	at   time.Duration
+	job  string
+	what string
+}
+
+// mostTraced bounds the trace: a day of some hundred jobs has a tenth of it.
+const mostTraced = 200_000
+
+func (h *History) note(id, format string, args ...any) {
+	if len(h.trace) < mostTraced {
+		h.trace = append(h.trace, traced{time.Since(h.began), id, fmt.Sprintf(format, args...)})
+	}
+}
+
+// Note notes a trouble, for the trace.
+func (h *History) Note(format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.note("", format, args...)
+}
+
+// Trace lists, in their order, the troubles and what happened to the jobs that a rule was
+// broken for: enough to write a test from.
+func (h *History) Trace() (out []string) {
+	broken := strings.Join(h.Broken(), " ") + " "
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, t := range h.trace {
+		if t.job == "" || strings.Contains(broken, t.job+" ") || strings.Contains(broken, t.job+"/") {
+			out = append(out, fmt.Sprintf("%9.3f s %s %s", t.at.Seconds(), t.job, t.what))
+		}
+	}
+	return out
 }
 
 // Moment orders questions and answers, also within one instant of fake time: an answer
@@ -196,6 +235,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.order++
+	h.note(id, "%s, asked at %d and answered at %d: %d %s", verb, asked, h.order, code, status)
 	p := h.jobs[id]
 	if p == nil {
 		if code == 200 {
@@ -266,6 +306,7 @@
 	defer h.mu.Unlock()
 	h.starts++
 	id, index, _ := job.SplitTaskID(task)
+	h.note(id, "%d starts on %s", index, machine)
 	p := h.jobs[id]
 	if s, twice := h.on[task]; twice {
 		h.breaks("ran_twice", "%s starts on %s while it is on %s", task, machine, s.machine)
@@ -319,7 +360,8 @@
 		return
 	}
 	delete(h.on, task)
-	id, _, _ := job.SplitTaskID(task)
+	id, index, _ := job.SplitTaskID(task)
+	h.note(id, "%d is gone from %s", index, machine)
 	p := h.jobs[id]
 	h.used[p.spec.Team] = h.used[p.spec.Team].Add(p.spec.Need, -1)
 	if p.told.IsZero() {
@@ -339,6 +381,7 @@
 	id, index, _ := job.SplitTaskID(task)
 	if p := h.jobs[id]; p != nil {
 		p.complete[index] = true
+		h.note(id, "%d has completed", index)
 	}
 }
 
--- a/meetings/drawn_test.go
+++ b/meetings/drawn_test.go
@@ -1,6 +1,7 @@
 package meetings
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -142,6 +143,132 @@
 		})
 		return func() {}
 	}, 4},
+	{"only answers are lost", [2]int{10, 60}, func(w *world, rng *rand.Rand) func() {
+		share := 0.1 + 0.6*rng.Float64()
+		for _, h := range w.hosts {
+			w.port(h).AtOnce(true)
+			w.port(h).Trouble(0, share)
+		}
+		return func() {
+			for _, h := range w.hosts {
+				w.port(h).AtOnce(false)
+				w.port(h).Trouble(0, 0)
+			}
+		}
+	}, 3},
+	{"machines are mute", [2]int{3, 70}, units(0.4, func(u *fakes.Unit, on bool) { u.Mute = on }), 2},
+	{"reports are kept for the next leader", [2]int{5, 50}, func(w *world, rng *rand.Rand) func() {
+		w.fleet.Each(func(_ string, u *fakes.Unit) { u.Keep() })
+		return func() {
+			if h := anyHost(w, rng); w.isUp(h) {
+				w.crash(h)
+				go func() {
+					time.Sleep(time.Duration(rng.IntN(2)*rng.IntN(1500)) * time.Millisecond)
+					w.start(h)
+				}()
+			}
+			go func() {
+				for range 8 {
+					w.sendKept()
+					time.Sleep(600 * time.Millisecond)
+				}
+			}()
+		}
+	}, 3},
+	{"jobs are called off as their machines hang", [2]int{5, 45}, func(w *world, rng *rand.Rand) func() {
+		hung := map[string]bool{}
+		for _, id := range w.history.Jobs() {
+			if m := w.history.Where(id); m != "" && len(hung) < 4 && rng.IntN(2) == 0 {
+				hung[m] = true
+				w.unitOf(m, func(u *fakes.Unit) { u.Hung = true })
+				go w.cancel("", id)
+			}
+		}
+		return func() {
+			for m := range hung {
+				w.unitOf(m, func(u *fakes.Unit) { u.Hung = false })
+			}
+		}
+	}, 2},
+	{"ends are called off", [2]int{5, 40}, func(w *world, rng *rand.Rand) func() {
+		k := 0
+		w.fleet.OnDone(func(task string) {
+			id, _, _ := job.SplitTaskID(task)
+			k++
+			time.Sleep(time.Duration(k*37%400) * time.Millisecond)
+			w.cancel("", id)
+		})
+		return func() { w.fleet.OnDone(nil) }
+	}, 2},
+	{"users look closely", [2]int{5, 30}, func(w *world, rng *rand.Rand) func() {
+		ctx, stop := context.WithCancel(w.ctx)
+		first := rng.IntN(1000)
+		go func() {
+			for k := first; ctx.Err() == nil; k++ {
+				if ids := w.history.Jobs(); len(ids) > 0 {
+					s, _ := w.history.Spec(ids[k*7%len(ids)])
+					if k%3 == 0 {
+						w.cancelSoon(w.hosts[k%3], s.ID)
+					}
+					var l looks
+					w.lookClosely(s, &l)
+				}
+				time.Sleep(2 * time.Second)
+			}
+		}()
+		return stop
+	}, 2},
+	{"odd requests come", [2]int{5, 30}, func(w *world, rng *rand.Rand) func() {
+		ctx, stop := context.WithCancel(w.ctx)
+		first := rng.IntN(1000)
+		go func() {
+			for k := first; ctx.Err() == nil; k++ {
+				if ids := w.history.Jobs(); len(ids) > 0 {
+					s, _ := w.history.Spec(ids[k*5%len(ids)])
+					w.resubmit(w.hosts[k%3], s)
+				}
+				bad := array(w.id(), 1)
+				w.history.OffersUnfit(bad)
+				bad.Need.GPUs = 3
+				asked := w.history.Asking()
+				code, status := w.call(w.hosts[(k+1)%3], "POST", "/submissions", wireSpec(bad), 5*time.Second)
+				w.history.Told("submit", bad.ID, asked, code, status)
+				time.Sleep(700 * time.Millisecond)
+			}
+		}()
+		return stop
+	}, 1},
+	{"one-task jobs come", [2]int{5, 20}, func(w *world, rng *rand.Rand) func() {
+		ctx, stop := context.WithCancel(w.ctx)
+		go func() {
+			for k := 0; ctx.Err() == nil; k++ {
+				s := array(w.id(), 1)
+				go func() {
+					if w.submit("", s, 3*time.Second) && k%4 == 0 {
+						w.cancel("", s.ID)
+					}
+				}()
+				time.Sleep(500 * time.Millisecond)
+			}
+		}()
+		return stop
+	}, 1},
+	{"a machine stops with all that is on it", [2]int{0, 0}, func(w *world, rng *rand.Rand) func() {
+		at := rng.IntN(8)
+		w.fleet.Each(func(_ string, u *fakes.Unit) {
+			if at--; at == 0 {
+				u.Kill()
+			}
+		})
+		return func() {}
+	}, 1},
+}
+
+// isUp reports whether a controller's process runs.
+func (w *world) isUp(host string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[host] != nil
 }
 
 // drawTrouble picks one by how common it is.
@@ -179,6 +306,7 @@
 		still := on[:0]
 		for _, x := range on {
 			if time.Now().After(x.at) {
+				w.history.Note("over: %s", x.name)
 				x.end()
 			} else {
 				still = append(still, x)
@@ -196,9 +324,7 @@
 				if more := x.for_[1] - d; more > 0 {
 					d += rng.IntN(more)
 				}
-				if os.Getenv("LOG_LEVEL") != "" {
-					w.t.Logf("%v: %s for %d s", time.Now().Format("05.0"), x.name, d)
-				}
+				w.history.Note("%s for %d s", x.name, d)
 				on = append(on, running{x.name, x.begin(w, rng), time.Now().Add(time.Duration(d) * time.Second)})
 			}
 		}
@@ -207,6 +333,8 @@
 	for _, x := range on {
 		x.end()
 	}
+	w.history.Note("all troubles are over")
+	time.Sleep(5 * time.Second)
 	w.history.Calm()
 	time.Sleep(10 * time.Minute)
 	w.history.End()
@@ -259,12 +387,19 @@
 	for _, seed := range seeds(t, 1, 2, 3, 4, 5, 6, 7, 8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			story(t, seed, func(w *world) {
+			boot := 5.0
+			if seed%3 == 0 {
+				boot = 1 // machines are up at once
+			}
+			storyWithBoots(t, seed, boot, func(w *world) {
 				w.day(seed)
 				if n := len(w.history.Jobs()); n < 15 || w.history.Starts() < 20 {
 					w.t.Errorf("only %d jobs and %d starts: this shows little", n, w.history.Starts())
 				}
 				w.check()
+				if w.t.Failed() {
+					w.t.Logf("seed %d:\n%s", seed, strings.Join(w.history.Trace(), "\n"))
+				}
 				w.tellOpen()
 			})
 		})
