Gateway: a withdrawn job that is recorded between two looks is not told as queued

Cause, by reading: a question takes the open record from the mirror and then asks what the job waits for; where its record goes in between, the tracker does not know it any more, and the answer was queued, though users may have been told withdrawn, from the records before it, long before. Change: then it looks once more. Measured: TestRecordedBetweenTwoLooks fails without it and passes now.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -298,7 +298,16 @@
 }
 
 // lookup finds a job's status.
-func (g *Gateway) lookup(ctx context.Context, id string) (jobStatus, error) {
+func (g *Gateway) lookup(ctx context.Context, id string) (s jobStatus, err error) {
+	for range 3 {
+		if s, err = g.lookupOnce(ctx, id); !errors.Is(err, errMoved) {
+			break
+		}
+	}
+	return s, err
+}
+
+func (g *Gateway) lookupOnce(ctx context.Context, id string) (jobStatus, error) {
 	if f, ok := g.Final(id); ok {
 		return finalStatus(id, f), nil
 	}
@@ -360,6 +369,9 @@
 	return reply.Done, reply.Running
 }
 
+// errMoved says that a job is over since its open record was looked at.
+var errMoved = fmt.Errorf("%w: the job is over since its record was read", statekv.ErrRefused)
+
 // waits tells whether an open job waits for others, or which answer it has for good
 // because one before it was cancelled: nothing need be written for that to be so.
 func (g *Gateway) waits(id string, open statekv.KV) (f ended.Record, waits bool, err error) {
@@ -372,8 +384,12 @@
 	}
 	v, ok := l.Pipes.Judge(id)
 	if !ok {
-		// It names none, or cannot be read, or the mirror has come further since.
-		return f, false, nil
+		if _, still := l.Mirror.Get(open.Key); !still {
+			// It is over since its record was looked at, and may have been told as
+			// withdrawn long before that: then queued would be an older answer.
+			return f, false, errMoved
+		}
+		return f, false, nil // it cannot be read, or came a moment ago
 	}
 	switch {
 	case v.State == pipeline.Withdrawn:
--- a/gateway/pipelines_test.go
+++ b/gateway/pipelines_test.go
@@ -404,3 +404,28 @@
 		}
 	})
 }
+
+// A question has found a job's open record, and before it asks what the job waits for, that
+// is withdrawn and recorded: users may have been told so long before, from what its record
+// names alone. The question looks once more, and must not be told that it is queued.
+func TestRecordedBetweenTwoLooks(t *testing.T) {
+	open(t, func(d *door) {
+		d.upgraded()
+		d.submit(201, "wk-1")
+		d.submit(201, "wk-2", "wk-1")
+		time.Sleep(time.Second)
+		seen, ok := d.life.Mirror.Get(job.OpenKey("wk-2"))
+		if !ok {
+			d.t.Fatal("its record is not there")
+		}
+		gone := ended.Record{Status: job.Cancelled, Tasks: 1}
+		for _, id := range []string{"wk-1", "wk-2"} {
+			d.put(append(ended.Ops(id, gone, ended.Former), statekv.Op{Delete: job.OpenKey(id)})...)
+		}
+		time.Sleep(time.Second)
+		if f, waits, err := d.g.waits("wk-2", seen); !errors.Is(err, errMoved) {
+			d.t.Errorf("by the record seen before: %+v, waits %v, %v", f, waits, err)
+		}
+		d.is("wk-2", job.Cancelled)
+	})
+}
