Names: tombstones, and the mirror's read index

The final record of a job that is over is a tombstone, and what the mirror's Sync gave is a linearizable read by a read index: named so in the code. Keys, stored values, calls between controllers and log lines are as they were.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -180,7 +180,7 @@
 		}
 	})
 	mirror.Parse, mirror.Marks = agent.ParseKey, agent.Cancels
-	pipes := pipeline.NewTracker(mirror, c.takes, c.gateway.Final)
+	pipes := pipeline.NewTracker(mirror, c.takes, c.gateway.Tombstone)
 	mirror.First = func(events []statekv.Event) {
 		pipes.OnEvents(events)
 		if ag != nil { // what is read before there are machines is in the mirror
--- a/ended/ended.go
+++ b/ended/ended.go
@@ -1,4 +1,4 @@
-// Package ended owns the records of jobs that are over. They are kept for ever, so
+// Package ended owns the tombstones: the final records of jobs that are over. They are kept for ever, so
 // they are small and nobody mirrors them: a job's final answer never changes, so
 // what was read once may be told at any time.
 //
@@ -31,8 +31,8 @@
 // Form is the form of the records under Prefix.
 const Form = 1
 
-// Record is what remains of a job that is over.
-type Record struct {
+// Tombstone is what remains of a job that is over: its final record.
+type Tombstone struct {
 	Status string // job.Done or job.Cancelled
 	Tasks  int
 
@@ -43,7 +43,7 @@
 }
 
 // At is when the job was found to be done, or the zero time.
-func (r Record) At() time.Time {
+func (r Tombstone) At() time.Time {
 	if r.AtMS == 0 {
 		return time.Time{}
 	}
@@ -75,7 +75,7 @@
 )
 
 // Ops are the changes that write a record.
-func Ops(id string, r Record, w Writing) []statekv.Op {
+func Ops(id string, r Tombstone, w Writing) []statekv.Op {
 	var ops []statekv.Op
 	if w != Compact {
 		ops = append(ops, r.formerOp(id))
@@ -86,11 +86,11 @@
 	return ops
 }
 
-func (r Record) formerOp(id string) statekv.Op {
+func (r Tombstone) formerOp(id string) statekv.Op {
 	return statekv.Op{Set: FormerKey(id), Value: former(r)}
 }
 
-func (r Record) op(id string) statekv.Op {
+func (r Tombstone) op(id string) statekv.Op {
 	list := []any{Form, letters[r.Status], r.Tasks}
 	if r.AtMS != 0 {
 		list = append(list, r.AtMS) // readers of this form never minded more entries
@@ -106,13 +106,13 @@
 // Parse reads a record by its key. ok is false where the key is no ended job's. An
 // error says that the value is damaged or has a form that this build does not read; a
 // *statekv.FormError is the latter.
-func Parse(key string, raw json.RawMessage) (id string, r Record, ok bool, err error) {
+func Parse(key string, raw json.RawMessage) (id string, r Tombstone, ok bool, err error) {
 	if id, ok = strings.CutPrefix(key, FormerPrefix); ok {
 		var f former
 		if err = statekv.CheckForm("an ended job's record", raw, 0); err == nil {
 			err = json.Unmarshal(raw, &f)
 		}
-		r = Record(f)
+		r = Tombstone(f)
 	} else if id, ok = strings.CutPrefix(key, Prefix); ok {
 		r, err = parseCompact(raw)
 	} else {
@@ -127,7 +127,7 @@
 	return id, r, true, err
 }
 
-func parseCompact(raw json.RawMessage) (r Record, err error) {
+func parseCompact(raw json.RawMessage) (r Tombstone, err error) {
 	var list []json.RawMessage
 	if err := json.Unmarshal(raw, &list); err != nil || len(list) == 0 {
 		return r, errors.New("is no list")
@@ -168,29 +168,29 @@
 // out by one transaction without changes; and a controller that stood still while the
 // fleet went on to forms that it does not know is no part of it any more, so the fence
 // keeps it from telling a user that an accepted job is unknown.
-func Read(ctx context.Context, store Store, fence []statekv.Cond, id string) (Record, error) {
+func Read(ctx context.Context, store Store, fence []statekv.Cond, id string) (Tombstone, error) {
 	for range 3 {
 		_, err := store.Txn(ctx, append(slices.Clone(fence), Absent(id)...), nil)
 		var conflict *statekv.Conflict
 		switch {
 		case err == nil:
-			return Record{}, statekv.ErrNotFound
+			return Tombstone{}, statekv.ErrNotFound
 		case !errors.As(err, &conflict):
-			return Record{}, err
+			return Tombstone{}, err
 		}
 		at := slices.IndexFunc([]string{Key(id), FormerKey(id)}, func(key string) bool { return slices.Contains(conflict.Failed, key) })
 		if at < 0 {
-			return Record{}, fmt.Errorf("%w: this life is over", statekv.ErrRefused)
+			return Tombstone{}, fmt.Errorf("%w: this life is over", statekv.ErrRefused)
 		}
 		kv, err := store.Get(ctx, [...]string{Key(id), FormerKey(id)}[at])
 		if errors.Is(err, statekv.ErrNotFound) {
 			continue // it changed its form meanwhile
 		}
 		if err != nil {
-			return Record{}, err
+			return Tombstone{}, err
 		}
 		_, r, _, err := Parse(kv.Key, kv.Value)
 		return r, err
 	}
-	return Record{}, fmt.Errorf("%w: the record of %s keeps changing its form", statekv.ErrRefused, id)
+	return Tombstone{}, fmt.Errorf("%w: the record of %s keeps changing its form", statekv.ErrRefused, id)
 }
--- a/ended/ended_test.go
+++ b/ended/ended_test.go
@@ -20,7 +20,7 @@
 // Every record reads as what it was, in both forms, and the new form is the smaller.
 func TestForms(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := ended.Record{Status: rapid.SampledFrom([]string{job.Done, job.Cancelled}).Draw(t, "status"), Tasks: rapid.IntRange(1, job.MaxTasks).Draw(t, "tasks"),
+		r := ended.Tombstone{Status: rapid.SampledFrom([]string{job.Done, job.Cancelled}).Draw(t, "status"), Tasks: rapid.IntRange(1, job.MaxTasks).Draw(t, "tasks"),
 			AtMS: rapid.SampledFrom([]int64{0, 1, 1764633600000}).Draw(t, "at")}
 		sizes := []int{}
 		for _, op := range ended.Ops("wk-7", r, ended.Both) {
@@ -88,7 +88,7 @@
 	}
 	write(statekv.Op{Set: "node", Value: 1})
 	alive := []statekv.Cond{{Key: "node", Rev: 2}}
-	r := ended.Record{Status: job.Done, Tasks: 5}
+	r := ended.Tombstone{Status: job.Done, Tasks: 5}
 	write(ended.Ops("wk-1", r, ended.Former)...)
 	toNew := func() {
 		write(append(ended.Ops("wk-1", r, ended.Compact), statekv.Op{Delete: ended.FormerKey("wk-1")})...)
@@ -113,7 +113,7 @@
 // The version in production reads a record that tells when the job ended: it takes the
 // first three entries of the list, and the fields that it knows.
 func TestProductionReadsTheTime(t *testing.T) {
-	ops := ended.Ops("wk-7", ended.Record{Status: job.Done, Tasks: 5, AtMS: 1764633600000}, ended.Both)
+	ops := ended.Ops("wk-7", ended.Tombstone{Status: job.Done, Tasks: 5, AtMS: 1764633600000}, ended.Both)
 	var was struct {
 		Status string `json:"status"`
 		Tasks  int    `json:"tasks"`
--- a/ended/finder.go
+++ b/ended/finder.go
@@ -34,7 +34,7 @@
 type lookup struct {
 	id   string
 	done chan struct{}
-	r    Record
+	r    Tombstone
 	err  error
 }
 
@@ -59,13 +59,13 @@
 // Find returns the record of a job that is over; statekv.ErrNotFound says that it was
 // not over at some moment since the call: see Read. Whatever is found goes to found,
 // also when nobody waits for it any more.
-func (f *Finder) Find(ctx context.Context, fence func() (statekv.Cond, bool), id string, found func(string, Record)) (Record, error) {
+func (f *Finder) Find(ctx context.Context, fence func() (statekv.Cond, bool), id string, found func(string, Tombstone)) (Tombstone, error) {
 	f.mu.Lock()
 	l := f.wanted[id]
 	if l == nil {
 		if len(f.queue) >= mostQueued {
 			f.mu.Unlock()
-			return Record{}, ErrBusy
+			return Tombstone{}, ErrBusy
 		}
 		l = &lookup{id: id, done: make(chan struct{})}
 		f.wanted[id], f.queue = l, append(f.queue, l)
@@ -77,7 +77,7 @@
 	}
 	f.mu.Unlock()
 	if long {
-		return Record{}, ErrBusy
+		return Tombstone{}, ErrBusy
 	}
 	timer := time.NewTimer(longestWait)
 	defer timer.Stop()
@@ -85,9 +85,9 @@
 	case <-l.done:
 		return l.r, l.err
 	case <-timer.C:
-		return Record{}, ErrBusy
+		return Tombstone{}, ErrBusy
 	case <-ctx.Done():
-		return Record{}, fmt.Errorf("%w: %w", ErrBusy, ctx.Err())
+		return Tombstone{}, fmt.Errorf("%w: %w", ErrBusy, ctx.Err())
 	}
 }
 
@@ -95,7 +95,7 @@
 func (f *Finder) group() int { return max(1, (f.conds-1)/len(Absent(""))) }
 
 // work takes the questions in their order until there are none.
-func (f *Finder) work(fence func() (statekv.Cond, bool), found func(string, Record)) {
+func (f *Finder) work(fence func() (statekv.Cond, bool), found func(string, Tombstone)) {
 	for {
 		// First the turn, then who has it: more may have come meanwhile.
 		for tries := 0; !f.store.Room(statekv.Lookups, 1) && tries < mostTries; tries++ {
@@ -124,10 +124,10 @@
 	mostTries = 50
 )
 
-func (f *Finder) answer(group []*lookup, fence func() (statekv.Cond, bool), found func(string, Record)) {
+func (f *Finder) answer(group []*lookup, fence func() (statekv.Cond, bool), found func(string, Tombstone)) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	finish := func(l *lookup, r Record, err error) {
+	finish := func(l *lookup, r Tombstone, err error) {
 		if l.r, l.err = r, err; err == nil {
 			found(l.id, r)
 		}
@@ -136,7 +136,7 @@
 	own, lives := fence()
 	if !lives {
 		for _, l := range group {
-			finish(l, Record{}, fmt.Errorf("%w: starting", statekv.ErrRefused))
+			finish(l, Tombstone{}, fmt.Errorf("%w: starting", statekv.ErrRefused))
 		}
 		return
 	}
@@ -144,9 +144,9 @@
 	for _, l := range group {
 		switch {
 		case err != nil:
-			finish(l, Record{}, err)
+			finish(l, Tombstone{}, err)
 		case slices.Contains(unknown, l.id):
-			finish(l, Record{}, statekv.ErrNotFound)
+			finish(l, Tombstone{}, statekv.ErrNotFound)
 		case slices.Contains(known, l.id):
 			r, err := Read(ctx, f.store, []statekv.Cond{own}, l.id)
 			finish(l, r, err)
--- a/ended/finder_test.go
+++ b/ended/finder_test.go
@@ -50,13 +50,13 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		s := &slow{State: fakes.NewState(), every: 150 * time.Millisecond}
-		if _, err := s.State.Txn(ctx, nil, ended.Ops("wk-1", ended.Record{Status: job.Done, Tasks: 1}, ended.Compact)); err != nil {
+		if _, err := s.State.Txn(ctx, nil, ended.Ops("wk-1", ended.Tombstone{Status: job.Done, Tasks: 1}, ended.Compact)); err != nil {
 			t.Fatal(err)
 		}
 		f := ended.NewFinder(s, 32, 6.7)
 		fence := func() (statekv.Cond, bool) { return statekv.Cond{Key: "life"}, true }
 		var cached atomic.Bool
-		found := func(id string, _ ended.Record) { cached.Store(cached.Load() || id == "wk-1") }
+		found := func(id string, _ ended.Tombstone) { cached.Store(cached.Load() || id == "wk-1") }
 		stop := make(chan struct{})
 		go func() {
 			for k := 0; ; k++ {
@@ -95,7 +95,7 @@
 		ctx := t.Context()
 		state := fakes.NewState()
 		for k, form := range []ended.Writing{ended.Former, ended.Both, ended.Compact} {
-			if _, err := state.Txn(ctx, nil, ended.Ops(fmt.Sprintf("wk-%d", k), ended.Record{Status: job.Done, Tasks: k + 1}, form)); err != nil {
+			if _, err := state.Txn(ctx, nil, ended.Ops(fmt.Sprintf("wk-%d", k), ended.Tombstone{Status: job.Done, Tasks: k + 1}, form)); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -105,14 +105,14 @@
 		ask := func() map[string]error {
 			type answer struct {
 				id  string
-				r   ended.Record
+				r   ended.Tombstone
 				err error
 			}
 			answers := make(chan answer)
 			for k := range 40 {
 				go func() {
 					id := fmt.Sprintf("wk-%d", k)
-					r, err := f.Find(ctx, fence, id, func(string, ended.Record) {})
+					r, err := f.Find(ctx, fence, id, func(string, ended.Tombstone) {})
 					answers <- answer{id, r, err}
 				}()
 			}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,15 +83,15 @@
 	latencies *latencies
 	pauses    func() (count int, longest time.Duration)
 
-	turns   turns
-	finder  *ended.Finder
-	refused atomic.Int64 // queries refused because too many came
-	mu      sync.Mutex
-	finals  map[string]ended.Record // answers that never change any more
+	turns      turns
+	finder     *ended.Finder
+	refused    atomic.Int64 // queries refused because too many came
+	mu         sync.Mutex
+	tombstones map[string]ended.Tombstone // answers that never change any more
 }
 
-// maxFinals bounds the cache of final answers.
-const maxFinals = 20_000
+// maxTombstones bounds the cache of final answers.
+const maxTombstones = 20_000
 
 // mostAsking bounds the queries that are answered at the same time; those that
 // wait for the state service share one request, so many are cheap.
@@ -101,7 +101,7 @@
 
 // New returns a gateway that has no life to serve yet.
 func New(settings *config.Settings, store statekv.Store, catalogue *cloud.Catalogue, pauses func() (int, time.Duration)) *Gateway {
-	g := &Gateway{settings: settings, store: store, catalogue: catalogue, latencies: newLatencies(), pauses: pauses, finals: map[string]ended.Record{},
+	g := &Gateway{settings: settings, store: store, catalogue: catalogue, latencies: newLatencies(), pauses: pauses, tombstones: map[string]ended.Tombstone{},
 		finder: ended.NewFinder(store, 4*settings.State.TxnOps, statekv.LookupShare*settings.State.RPS/float64(max(1, settings.Controllers)))}
 	g.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
@@ -221,27 +221,27 @@
 	Running int    `json:"running"`
 }
 
-// Final returns the record of a job that is over, if it was read here lately.
-func (g *Gateway) Final(id string) (ended.Record, bool) {
+// Tombstone returns the record of a job that is over, if it was read here lately.
+func (g *Gateway) Tombstone(id string) (ended.Tombstone, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	f, ok := g.finals[id]
+	f, ok := g.tombstones[id]
 	return f, ok
 }
 
-func (g *Gateway) keepFinal(id string, f ended.Record) {
+func (g *Gateway) keepTombstone(id string, f ended.Tombstone) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for old := range g.finals {
-		if len(g.finals) < maxFinals {
+	for old := range g.tombstones {
+		if len(g.tombstones) < maxTombstones {
 			break
 		}
-		delete(g.finals, old)
+		delete(g.tombstones, old)
 	}
-	g.finals[id] = f
+	g.tombstones[id] = f
 }
 
-func finalStatus(id string, f ended.Record) jobStatus {
+func statusOf(id string, f ended.Tombstone) jobStatus {
 	s := jobStatus{ID: id, Status: f.Status}
 	if f.Status == job.Done {
 		s.Done = f.Tasks
@@ -257,16 +257,16 @@
 	case err != nil:
 		slog.Error("a value cannot be read; it is left as it is", "key", key, "err", err)
 	default:
-		g.keepFinal(id, f)
+		g.keepTombstone(id, f)
 	}
 }
 
 // ReadEnded reads the record of a job that is over. Only a controller whose life goes
 // on can tell that there is none: see ended.Read.
-func (g *Gateway) ReadEnded(ctx context.Context, id string) (ended.Record, error) {
+func (g *Gateway) ReadEnded(ctx context.Context, id string) (ended.Tombstone, error) {
 	l := g.life.Load()
 	if l == nil {
-		return ended.Record{}, fmt.Errorf("%w: starting", statekv.ErrRefused)
+		return ended.Tombstone{}, fmt.Errorf("%w: starting", statekv.ErrRefused)
 	}
 	return ended.Read(ctx, g.store, []statekv.Cond{l.Member.Cond()}, id)
 }
@@ -287,7 +287,7 @@
 	if l == nil {
 		return g.store.Get(ctx, job.OpenKey(id))
 	}
-	if err := l.Mirror.Sync(ctx); err != nil {
+	if err := l.Mirror.ReadIndex(ctx); err != nil {
 		return statekv.KV{}, err
 	}
 	kv, ok := l.Mirror.Get(job.OpenKey(id))
@@ -308,19 +308,19 @@
 }
 
 func (g *Gateway) lookupOnce(ctx context.Context, id string) (jobStatus, error) {
-	if f, ok := g.Final(id); ok {
-		return finalStatus(id, f), nil
+	if f, ok := g.Tombstone(id); ok {
+		return statusOf(id, f), nil
 	}
 	kv, err := g.openRecord(ctx, id)
 	if errors.Is(err, statekv.ErrNotFound) {
-		if f, ok := g.Final(id); ok {
-			return finalStatus(id, f), nil
+		if f, ok := g.Tombstone(id); ok {
+			return statusOf(id, f), nil
 		}
-		f, err := g.finder.Find(ctx, g.fence, id, g.keepFinal)
+		f, err := g.finder.Find(ctx, g.fence, id, g.keepTombstone)
 		if err != nil {
 			return jobStatus{}, err
 		}
-		return finalStatus(id, f), nil
+		return statusOf(id, f), nil
 	}
 	if err != nil {
 		return jobStatus{}, err
@@ -328,8 +328,8 @@
 	if f, waits, err := g.waits(id, kv); err != nil {
 		return jobStatus{}, err
 	} else if f.Status != "" {
-		g.keepFinal(id, f)
-		return finalStatus(id, f), nil
+		g.keepTombstone(id, f)
+		return statusOf(id, f), nil
 	} else if waits {
 		return jobStatus{ID: id, Status: job.Queued}, nil
 	}
@@ -374,7 +374,7 @@
 
 // waits tells whether an open job waits for others, or which answer it has for good
 // because one before it was cancelled: nothing need be written for that to be so.
-func (g *Gateway) waits(id string, open statekv.KV) (f ended.Record, waits bool, err error) {
+func (g *Gateway) waits(id string, open statekv.KV) (f ended.Tombstone, waits bool, err error) {
 	if !job.NeedsPipelines(open.Value) {
 		return f, false, nil
 	}
@@ -397,7 +397,7 @@
 		if err != nil {
 			return f, false, err
 		}
-		return ended.Record{Status: job.Cancelled, Tasks: rec.Spec.Tasks}, true, nil
+		return ended.Tombstone{Status: job.Cancelled, Tasks: rec.Spec.Tasks}, true, nil
 	case len(v.Unread) > 0:
 		// One of them may have been cancelled long ago.
 		return f, true, fmt.Errorf("%w: the records of jobs before it are being read", statekv.ErrRefused)
@@ -417,8 +417,8 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Context(), 3500*time.Millisecond)
 	defer cancel()
-	if f, ok := g.Final(spec.ID); ok {
-		return c.JSON(finalStatus(spec.ID, f))
+	if f, ok := g.Tombstone(spec.ID); ok {
+		return c.JSON(statusOf(spec.ID, f))
 	}
 	if l.cutOff(time.Now()) {
 		return later(c, "cut off from the state service")
@@ -503,8 +503,8 @@
 	if !job.ValidID(id) {
 		return fail(c, fiber.StatusNotFound, "no such job")
 	}
-	if f, ok := g.Final(id); ok {
-		return c.JSON(finalStatus(id, f))
+	if f, ok := g.Tombstone(id); ok {
+		return c.JSON(statusOf(id, f))
 	}
 	// Beyond what can be answered in time, queries are refused at once:
 	// submissions, cancellations and reports need the processor more.
@@ -539,12 +539,12 @@
 	ctx, cancel := context.WithTimeout(c.Context(), 3500*time.Millisecond)
 	defer cancel()
 	began := time.Now()
-	answer := func(f ended.Record) error {
-		g.keepFinal(id, f)
+	answer := func(f ended.Tombstone) error {
+		g.keepTombstone(id, f)
 		return c.JSON(fiber.Map{"id": id, "status": f.Status})
 	}
 	for range 4 {
-		if f, ok := g.Final(id); ok {
+		if f, ok := g.Tombstone(id); ok {
 			return answer(f)
 		}
 		l := g.life.Load()
@@ -577,7 +577,7 @@
 			l.Mirror.Unreadable(kv.Key, err)
 			break
 		}
-		f := ended.Record{Status: job.Cancelled, Tasks: rec.Spec.Tasks}
+		f := ended.Tombstone{Status: job.Cancelled, Tasks: rec.Spec.Tasks}
 		level, unchanged := l.Levels.Now()
 		then := append([]statekv.Op{{Delete: job.OpenKey(id)}}, ended.Ops(id, f, level.Writes())...)
 		then = append(then, job.DropExtras(id, rec.Spec.Tasks, rec.Pieces, g.store.Most(g.settings.State.TxnOps)-len(then))...)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -34,7 +34,7 @@
 	if code, again := ask("wk-1"); code != 503 || again == "" {
 		t.Fatalf("a question beyond the share for lookups: %d, Retry-After %q", code, again)
 	}
-	g.keepFinal("wk-2", ended.Record{Status: job.Done, Tasks: 1})
+	g.keepTombstone("wk-2", ended.Tombstone{Status: job.Done, Tasks: 1})
 	g.turns.busy = mostAsking
 	if code, again := ask("wk-1"); code != 503 || again == "" || g.refused.Load() != 1 {
 		t.Fatalf("a surplus question: %d, Retry-After %q, %d refused", code, again, g.refused.Load())
--- a/gateway/pipelines.go
+++ b/gateway/pipelines.go
@@ -19,7 +19,7 @@
 func (g *Gateway) unfit(ctx context.Context, l *Life, spec *job.Spec) (string, error) {
 	var unknown []string
 	for _, id := range spec.WaitsOn {
-		if _, ok := g.Final(id); ok {
+		if _, ok := g.Tombstone(id); ok {
 			continue
 		}
 		kv, ok := l.Mirror.Get(job.OpenKey(id))
--- a/gateway/pipelines_test.go
+++ b/gateway/pipelines_test.go
@@ -81,7 +81,7 @@
 				d.g.OnEnded(e.Set, e.Value)
 			}
 		})
-		l.Pipes = pipeline.NewTracker(l.Mirror, func(*job.Spec) time.Duration { return time.Second }, d.g.Final)
+		l.Pipes = pipeline.NewTracker(l.Mirror, func(*job.Spec) time.Duration { return time.Second }, d.g.Tombstone)
 		l.Mirror.First = l.Pipes.OnEvents
 		if err := l.Mirror.Load(ctx); err != nil {
 			t.Fatal(err)
@@ -207,8 +207,8 @@
 		d.state.Delay(0)
 		d.put(statekv.Op{Set: job.OpenKey("wk-11"), Value: job.Record{Spec: job.Spec{ID: "wk-11", Tasks: 1}, Slot: "host-9.1"}})
 		d.put(statekv.Op{Set: ended.FormerKey("wk-12"), Value: map[string]any{"status": "done", "tasks": 1}})
-		d.put(ended.Ops("wk-13", ended.Record{Status: job.Done, Tasks: 1}, ended.Compact)...)
-		d.put(ended.Ops("wk-14", ended.Record{Status: job.Done, Tasks: 1}, ended.Both)...)
+		d.put(ended.Ops("wk-13", ended.Tombstone{Status: job.Done, Tasks: 1}, ended.Compact)...)
+		d.put(ended.Ops("wk-14", ended.Tombstone{Status: job.Done, Tasks: 1}, ended.Both)...)
 		d.submit(201, "wk-3", "wk-11", "wk-12", "wk-13", "wk-14", "wk-1", "wk-1")
 		d.put(statekv.Op{Set: job.OpenKey("wk-15"), Value: job.Record{Spec: job.Spec{ID: "wk-15", Tasks: 1, Shape: job.Service}, Slot: "host-9.1"}})
 		time.Sleep(time.Second)
@@ -224,7 +224,7 @@
 		var many []string
 		for k := range 400 {
 			many = append(many, fmt.Sprintf("wk-9%05d", k*211%100000))
-			d.put(ended.Ops(many[k], ended.Record{Status: job.Done, Tasks: 1}, []ended.Writing{ended.Former, ended.Compact}[k%2])...)
+			d.put(ended.Ops(many[k], ended.Tombstone{Status: job.Done, Tasks: 1}, []ended.Writing{ended.Former, ended.Compact}[k%2])...)
 		}
 		d.submit(201, "wk-6", many...)
 		d.submit(200, "wk-6", many...)
@@ -286,7 +286,7 @@
 		d.submit(201, "wk-2", "wk-1")
 		// Its placer's record comes first.
 		kv, _ := d.state.Get(d.ctx, job.OpenKey("wk-1"))
-		if _, err := d.state.Txn(d.ctx, []statekv.Cond{{Key: kv.Key, Rev: kv.Rev}}, append(ended.Ops("wk-1", ended.Record{Status: job.Done, Tasks: 1}, ended.Former), statekv.Op{Delete: kv.Key})); err != nil {
+		if _, err := d.state.Txn(d.ctx, []statekv.Cond{{Key: kv.Key, Rev: kv.Rev}}, append(ended.Ops("wk-1", ended.Tombstone{Status: job.Done, Tasks: 1}, ended.Former), statekv.Op{Delete: kv.Key})); err != nil {
 			t.Fatal(err)
 		}
 		if code, answer, _ := d.ask("POST", "/submissions/wk-1/abort", ""); code != 200 || answer["status"] != job.Done {
@@ -301,15 +301,15 @@
 func TestNobodyIsToldAnOlderAnswer(t *testing.T) {
 	open(t, func(d *door) {
 		d.upgraded()
-		d.put(ended.Ops("wk-1", ended.Record{Status: job.Cancelled, Tasks: 1}, ended.Former)...)
+		d.put(ended.Ops("wk-1", ended.Tombstone{Status: job.Cancelled, Tasks: 1}, ended.Former)...)
 		for id, needs := range map[string]string{"wk-2": "wk-1", "wk-3": "wk-2"} { // another controller's
 			d.put(statekv.Op{Set: job.OpenKey(id), Value: job.Record{Spec: job.Spec{ID: id, Tasks: 1, WaitsOn: []string{needs}}, Slot: "host-9.1"}})
 		}
 		time.Sleep(time.Second)
 		d.g.mu.Lock()
-		clear(d.g.finals)
+		clear(d.g.tombstones)
 		d.g.mu.Unlock()
-		fresh := pipeline.NewTracker(d.life.Mirror, func(*job.Spec) time.Duration { return 0 }, d.g.Final)
+		fresh := pipeline.NewTracker(d.life.Mirror, func(*job.Spec) time.Duration { return 0 }, d.g.Tombstone)
 		fresh.OnEvents(nil)
 		l := *d.life
 		l.Pipes = fresh
@@ -349,7 +349,7 @@
 func TestCutOffFromAllButWorkers(t *testing.T) {
 	open(t, func(d *door) {
 		d.submit(201, "wk-1")
-		d.put(ended.Ops("wk-2", ended.Record{Status: job.Done, Tasks: 1}, ended.Former)...)
+		d.put(ended.Ops("wk-2", ended.Tombstone{Status: job.Done, Tasks: 1}, ended.Former)...)
 		time.Sleep(time.Second)
 		d.is("wk-2", job.Done)
 		if code, _, _ := d.ask("GET", "/ready", ""); code != 200 {
@@ -418,7 +418,7 @@
 		if !ok {
 			d.t.Fatal("its record is not there")
 		}
-		gone := ended.Record{Status: job.Cancelled, Tasks: 1}
+		gone := ended.Tombstone{Status: job.Cancelled, Tasks: 1}
 		for _, id := range []string{"wk-1", "wk-2"} {
 			d.put(append(ended.Ops(id, gone, ended.Former), statekv.Op{Delete: job.OpenKey(id)})...)
 		}
--- a/gateway/rollout_test.go
+++ b/gateway/rollout_test.go
@@ -67,7 +67,7 @@
 	}
 	ask("POST", "/rollout/hold?why=it+is+Friday", 200)
 	var s rollout.Status
-	if err := mirror.Sync(ctx); err != nil {
+	if err := mirror.ReadIndex(ctx); err != nil {
 		t.Fatal(err)
 	}
 	if err := json.Unmarshal([]byte(ask("GET", "/rollout.json", 200)), &s); err != nil || s.Hold != "it is Friday" || len(s.Controllers) != 1 || s.Controllers[0].Build != rollout.Build {
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -39,7 +39,7 @@
 	// than its id.
 	Open(id string) (*Node, bool)
 	// Ended returns the final record of a job, if it was read.
-	Ended(id string) (ended.Record, bool)
+	Ended(id string) (ended.Tombstone, bool)
 }
 
 // State is what a waiting job has come to.
--- a/pipeline/tracker.go
+++ b/pipeline/tracker.go
@@ -27,31 +27,31 @@
 type Tracker struct {
 	keys  Keys
 	takes func(*job.Spec) time.Duration
-	known func(id string) (ended.Record, bool) // final records that somebody here has read
+	known func(id string) (ended.Tombstone, bool) // final records that somebody here has read
 
-	mu       sync.Mutex
-	nodes    map[string]*Node
-	after    map[string]int // how many nodes name a job
-	finals   map[string]ended.Record
-	unread   map[string]bool      // named jobs whose final records are wanted
-	bad      map[string]time.Time // since when their final records are known to be damaged
-	changes  uint64
-	urgent   map[string]Urgency // as of urgentAt; nil: never worked out
-	urgentAt uint64
-	wake     chan struct{}
+	mu         sync.Mutex
+	nodes      map[string]*Node
+	after      map[string]int // how many nodes name a job
+	tombstones map[string]ended.Tombstone
+	unread     map[string]bool      // named jobs whose final records are wanted
+	bad        map[string]time.Time // since when their final records are known to be damaged
+	changes    uint64
+	urgent     map[string]Urgency // as of urgentAt; nil: never worked out
+	urgentAt   uint64
+	wake       chan struct{}
 }
 
 // NewTracker returns a tracker; takes tells about how long a job takes once it is ready,
 // known looks up final records that have been read anyway.
-func NewTracker(keys Keys, takes func(*job.Spec) time.Duration, known func(string) (ended.Record, bool)) *Tracker {
+func NewTracker(keys Keys, takes func(*job.Spec) time.Duration, known func(string) (ended.Tombstone, bool)) *Tracker {
 	t := &Tracker{keys: keys, takes: takes, known: known, wake: make(chan struct{}, 1)}
 	t.reset()
 	return t
 }
 
 func (t *Tracker) reset() {
-	if t.finals == nil {
-		t.finals = map[string]ended.Record{}
+	if t.tombstones == nil {
+		t.tombstones = map[string]ended.Tombstone{}
 	}
 	t.nodes, t.after, t.unread, t.bad = map[string]*Node{}, map[string]int{}, map[string]bool{}, map[string]time.Time{}
 }
@@ -66,9 +66,9 @@
 		for _, kv := range t.keys.Dir(job.OpenPrefix) {
 			t.opened(kv.Key[len(job.OpenPrefix):], kv.Value)
 		}
-		for id := range t.finals {
+		for id := range t.tombstones {
 			if t.after[id] == 0 {
-				delete(t.finals, id)
+				delete(t.tombstones, id)
 			}
 		}
 		return
@@ -90,8 +90,8 @@
 	}
 }
 
-func (t *Tracker) settle(id string, r ended.Record) {
-	t.finals[id] = r
+func (t *Tracker) settle(id string, r ended.Tombstone) {
+	t.tombstones[id] = r
 	delete(t.unread, id)
 	delete(t.bad, id)
 	t.changes++
@@ -120,7 +120,7 @@
 	t.changes++
 	for _, p := range n.Needs {
 		t.after[p]++
-		if _, ok := t.finals[p]; ok {
+		if _, ok := t.tombstones[p]; ok {
 			continue
 		}
 		if r, ok := t.known(p); ok {
@@ -142,7 +142,7 @@
 	for _, p := range n.Needs {
 		if t.after[p]--; t.after[p] == 0 {
 			delete(t.after, p)
-			delete(t.finals, p)
+			delete(t.tombstones, p)
 			delete(t.unread, p)
 			delete(t.bad, p)
 		}
@@ -160,15 +160,15 @@
 	return &Node{ID: id}, ok
 }
 
-func (s snapshot) Ended(id string) (ended.Record, bool) {
-	if r, ok := s.finals[id]; ok {
+func (s snapshot) Ended(id string) (ended.Tombstone, bool) {
+	if r, ok := s.tombstones[id]; ok {
 		return r, true
 	}
 	if r, ok := s.known(id); ok && s.after[id] > 0 {
 		s.settle(id, r)
 		return r, true
 	}
-	return ended.Record{}, false
+	return ended.Tombstone{}, false
 }
 
 // Judge tells what an open job has come to; ok is false for one that names no others.
@@ -234,7 +234,7 @@
 
 // Run reads the final records that are wanted until ctx ends, one after the other.
 // What is read is kept for as long as anybody open names the job.
-func (t *Tracker) Run(ctx context.Context, read func(context.Context, string) (ended.Record, error)) {
+func (t *Tracker) Run(ctx context.Context, read func(context.Context, string) (ended.Tombstone, error)) {
 	for ctx.Err() == nil {
 		t.mu.Lock()
 		id := ""
--- a/pipeline/tracker_test.go
+++ b/pipeline/tracker_test.go
@@ -21,7 +21,7 @@
 	state *fakes.State
 	keys  *statekv.Mirror
 	pipes *pipeline.Tracker
-	known map[string]ended.Record
+	known map[string]ended.Tombstone
 	reads int
 }
 
@@ -29,7 +29,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() { cancel(); synctest.Wait() }()
-		tell(&world{t: t, ctx: ctx, state: fakes.NewState(), known: map[string]ended.Record{}})
+		tell(&world{t: t, ctx: ctx, state: fakes.NewState(), known: map[string]ended.Tombstone{}})
 	})
 }
 
@@ -37,7 +37,7 @@
 func (w *world) begin() {
 	w.t.Helper()
 	w.keys = statekv.NewMirror(w.state, []string{job.OpenPrefix, job.PiecePrefix}, statekv.RootPrefix, time.Second, 0, func([]statekv.Event) {})
-	w.pipes = pipeline.NewTracker(w.keys, func(*job.Spec) time.Duration { return 10 * time.Second }, func(id string) (ended.Record, bool) {
+	w.pipes = pipeline.NewTracker(w.keys, func(*job.Spec) time.Duration { return 10 * time.Second }, func(id string) (ended.Tombstone, bool) {
 		r, ok := w.known[id]
 		return r, ok
 	})
@@ -46,7 +46,7 @@
 		w.t.Fatal(err)
 	}
 	go w.keys.Run(w.ctx)
-	go w.pipes.Run(w.ctx, func(ctx context.Context, id string) (ended.Record, error) {
+	go w.pipes.Run(w.ctx, func(ctx context.Context, id string) (ended.Tombstone, error) {
 		w.reads++
 		return ended.Read(ctx, w.state, nil, id)
 	})
@@ -76,7 +76,7 @@
 
 func (w *world) end(id, status string, form ended.Writing) {
 	w.t.Helper()
-	w.write(append(ended.Ops(id, ended.Record{Status: status, Tasks: 1, AtMS: time.Now().UnixMilli()}, form), statekv.Op{Delete: job.OpenKey(id)})...)
+	w.write(append(ended.Ops(id, ended.Tombstone{Status: status, Tasks: 1, AtMS: time.Now().UnixMilli()}, form), statekv.Op{Delete: job.OpenKey(id)})...)
 }
 
 func (w *world) is(id string, state pipeline.State) pipeline.Verdict {
@@ -126,7 +126,7 @@
 		w.open("wk-6", "wk-2", "wk-3")
 		w.open("wk-7", "wk-4")
 		w.open("wk-8", "wk-7")
-		w.known["wk-9"] = ended.Record{Status: job.Done, Tasks: 1, AtMS: 5}
+		w.known["wk-9"] = ended.Tombstone{Status: job.Done, Tasks: 1, AtMS: 5}
 		w.open("wk-10", "wk-9")
 		time.Sleep(time.Hour)
 		w.begin()
--- a/placer/drawn_test.go
+++ b/placer/drawn_test.go
@@ -250,7 +250,7 @@
 	if err != nil {
 		return false
 	}
-	_, err = w.state.Txn(w.ctx, []statekv.Cond{{Key: kv.Key, Rev: kv.Rev}}, append(ended.Ops(id, ended.Record{Status: job.Cancelled, Tasks: 1}, ended.Former), statekv.Op{Delete: kv.Key}))
+	_, err = w.state.Txn(w.ctx, []statekv.Cond{{Key: kv.Key, Rev: kv.Rev}}, append(ended.Ops(id, ended.Tombstone{Status: job.Cancelled, Tasks: 1}, ended.Former), statekv.Op{Delete: kv.Key}))
 	return err == nil || errors.Is(err, statekv.ErrUnknown)
 }
 
@@ -280,7 +280,7 @@
 			for id, s := range c.jobs {
 				for _, p := range s.WaitsOn {
 					if c.openStill(p) && !c.began[id] && c.cancelled[p].IsZero() {
-						c.put(ended.Ops(p, ended.Record{Status: job.Done, Tasks: 1}, ended.Former)...)
+						c.put(ended.Ops(p, ended.Tombstone{Status: job.Done, Tasks: 1}, ended.Former)...)
 						c.workers.Do(func() {
 							c.boxes[0].Report.Tasks = append(c.boxes[0].Report.Tasks, worker.Task{ID: id + "/0", Attempt: 1 << 50, State: worker.Running})
 						})
@@ -314,7 +314,7 @@
 		},
 		"went_back": func(c *checker) bool {
 			if id := c.unharmed(); id != "" {
-				c.put(append(lose(id), ended.Ops(id, ended.Record{Status: job.Cancelled, Tasks: 1}, ended.Former)...)...)
+				c.put(append(lose(id), ended.Ops(id, ended.Tombstone{Status: job.Cancelled, Tasks: 1}, ended.Former)...)...)
 				return true
 			}
 			return false
--- a/placer/flush.go
+++ b/placer/flush.go
@@ -79,7 +79,7 @@
 	over := len(j.ended)
 	pieces := j.rest.Pieces
 	if final {
-		r := ended.Record{Status: j.over, Tasks: len(j.tasks)}
+		r := ended.Tombstone{Status: j.over, Tasks: len(j.tasks)}
 		if j.over == job.Done {
 			r.AtMS = j.overAt.UnixMilli()
 		}
--- a/placer/story_test.go
+++ b/placer/story_test.go
@@ -145,7 +145,7 @@
 		}
 	})
 	n.mirror = mirror
-	pipes := pipeline.NewTracker(mirror, func(*job.Spec) time.Duration { return 10 * time.Second }, func(string) (ended.Record, bool) { return ended.Record{}, false })
+	pipes := pipeline.NewTracker(mirror, func(*job.Spec) time.Duration { return 10 * time.Second }, func(string) (ended.Tombstone, bool) { return ended.Tombstone{}, false })
 	mirror.First = pipes.OnEvents
 	if err := mirror.Load(ctx); err != nil {
 		w.t.Fatal(err)
@@ -167,7 +167,7 @@
 	go n.agent.Run(ctx)
 	go feed.Run(ctx)
 	go n.placer.Run(ctx, feed)
-	go pipes.Run(ctx, func(ctx context.Context, id string) (ended.Record, error) {
+	go pipes.Run(ctx, func(ctx context.Context, id string) (ended.Tombstone, error) {
 		return ended.Read(ctx, w.state, []statekv.Cond{n.member.Cond()}, id)
 	})
 	return n
@@ -339,7 +339,7 @@
 		w.run(3 * time.Second)
 		w.submit(n, spec("wk-1", job.Array, 6, 1))
 		w.run(4 * time.Second)
-		if _, err := w.state.Txn(w.ctx, nil, []statekv.Op{{Delete: job.OpenKey("wk-1")}, ended.Ops("wk-1", ended.Record{Status: job.Cancelled, Tasks: 6}, ended.Former)[0]}); err != nil {
+		if _, err := w.state.Txn(w.ctx, nil, []statekv.Op{{Delete: job.OpenKey("wk-1")}, ended.Ops("wk-1", ended.Tombstone{Status: job.Cancelled, Tasks: 6}, ended.Former)[0]}); err != nil {
 			t.Fatal(err)
 		}
 		w.run(6 * time.Second)
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -212,7 +212,7 @@
 	}
 	var err error
 	for range 5 {
-		if err = g.mirror.Sync(ctx); err != nil {
+		if err = g.mirror.ReadIndex(ctx); err != nil {
 			return fmt.Errorf("reading the fleet's level: %w", err)
 		}
 		v := g.look(time.Now())
--- a/rollout/story_test.go
+++ b/rollout/story_test.go
@@ -374,8 +374,8 @@
 	})
 }
 
-func recordOf(k int) ended.Record {
-	return ended.Record{Status: []string{job.Done, job.Cancelled}[k%7/6], Tasks: 1 + k%300}
+func recordOf(k int) ended.Tombstone {
+	return ended.Tombstone{Status: []string{job.Done, job.Cancelled}[k%7/6], Tasks: 1 + k%300}
 }
 
 // Tens of thousands of ended jobs are moved, through an outage, a change of the steward
--- a/statekv/mirror.go
+++ b/statekv/mirror.go
@@ -226,10 +226,10 @@
 	return slices.ContainsFunc(m.keep, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
 }
 
-// Sync returns once the mirror shows all that was so when Sync was called: what
-// it shows then is as good as a read made now. However many ask, one request
-// at a time goes to the state service.
-func (m *Mirror) Sync(ctx context.Context) error {
+// ReadIndex returns once the mirror shows all that was so when it was called: what the
+// mirror shows then is a linearizable read. However many ask, one request at a time goes
+// to the state service.
+func (m *Mirror) ReadIndex(ctx context.Context) error {
 	m.mu.Lock()
 	if m.sync == nil {
 		m.sync = &barrier{done: make(chan struct{})}
