Mirror: a tombstone is read once for all who follow

Cause: a change was parsed for a final record up to four times: by the mirror's mark, the agent, the pipelines and the gateway. Change: the mirror reads each change once, and carries what it made of it. Measured: TestChangeIsReadOnce; packages gateway, ended, statekv, pipeline, agent and controller pass.

--- a/agent/over.go
+++ b/agent/over.go
@@ -47,14 +47,14 @@
 	now := time.Now()
 	cancelled, unclear := map[string]bool{}, map[string]bool{}
 	for _, e := range events {
-		id, r, ok, err := ended.Parse(e.Set, e.Value)
+		c, ok := ended.ChangeOf(e)
 		switch {
 		case !ok:
-		case err != nil:
-			unclear[id] = true // whether it was cancelled; that its open record is gone can be read
-		case r.Status == job.Cancelled:
-			cancelled[id] = true
-			a.keepOver(id, now)
+		case c.Err != nil:
+			unclear[c.ID] = true // whether it was cancelled; that its open record is gone can be read
+		case c.Status == job.Cancelled:
+			cancelled[c.ID] = true
+			a.keepOver(c.ID, now)
 		}
 	}
 	if len(cancelled) == 0 && len(unclear) == 0 {
@@ -107,8 +107,8 @@
 
 // Cancels reports whether a change tells of a cancellation, or may do so.
 func Cancels(e statekv.Event) bool {
-	_, r, ok, err := ended.Parse(e.Set, e.Value)
-	return ok && (err != nil || r.Status == job.Cancelled)
+	c, ok := ended.ChangeOf(e)
+	return ok && (c.Err != nil || c.Status == job.Cancelled)
 }
 
 // Telling notes that a user is about to be told of a cancellation that this controller has
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -175,11 +175,11 @@
 			} else if machine, ok := strings.CutPrefix(e.Delete, statekv.MachinePrefix); ok {
 				ag.OnRemoved(machine)
 			} else {
-				c.gateway.OnEnded(e.Set, e.Value)
+				c.gateway.OnEnded(e)
 			}
 		}
 	})
-	mirror.Parse, mirror.Marks = agent.ParseKey, agent.Cancels
+	mirror.Parse, mirror.Marks = parseKey, agent.Cancels
 	pipes := pipeline.NewTracker(mirror, c.takes, c.gateway.Tombstone)
 	mirror.First = func(events []statekv.Event) {
 		pipes.OnEvents(events)
@@ -259,6 +259,14 @@
 	return err
 }
 
+// parseKey reads what the mirror keeps and follows, once for all who look at it.
+func parseKey(key string, value json.RawMessage) any {
+	if change := ended.ParseKey(key, value); change != nil {
+		return change
+	}
+	return agent.ParseKey(key, value)
+}
+
 // sweepEvery is how often the steward looks for keys that jobs have left behind.
 const sweepEvery = time.Minute
 
--- a/ended/ended.go
+++ b/ended/ended.go
@@ -127,6 +127,32 @@
 	return id, r, true, err
 }
 
+// Change is the writing of a tombstone, or why it cannot be read.
+type Change struct {
+	ID string
+	Tombstone
+	Err error
+}
+
+// ParseKey is Parse for a mirror: a Change, or nil where the key is no ended job's.
+func ParseKey(key string, raw json.RawMessage) any {
+	id, r, ok, err := Parse(key, raw)
+	if !ok {
+		return nil
+	}
+	return Change{id, r, err}
+}
+
+// ChangeOf tells whether an event is the writing of a tombstone. A mirror that reads with
+// ParseKey has read it.
+func ChangeOf(e statekv.Event) (c Change, ok bool) {
+	if e.Parsed == nil {
+		e.Parsed = ParseKey(e.Set, e.Value)
+	}
+	c, ok = e.Parsed.(Change)
+	return c, ok
+}
+
 func parseCompact(raw json.RawMessage) (r Tombstone, err error) {
 	var list []json.RawMessage
 	if err := json.Unmarshal(raw, &list); err != nil || len(list) == 0 {
--- a/ended/ended_test.go
+++ b/ended/ended_test.go
@@ -178,3 +178,43 @@
 		}
 	})
 }
+
+// A mirror reads each tombstone once, for all who follow it.
+func TestChangeIsReadOnce(t *testing.T) {
+	read := 0
+	state := fakes.NewState()
+	var got []ended.Change
+	mirror := statekv.NewMirror(state, nil, statekv.RootPrefix, time.Second, 0, func(events []statekv.Event) {
+		for _, e := range events {
+			for range 3 {
+				if c, ok := ended.ChangeOf(e); ok {
+					got = append(got, c)
+				}
+			}
+		}
+	})
+	mirror.Parse = func(key string, raw json.RawMessage) any {
+		read++
+		return ended.ParseKey(key, raw)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	if err := mirror.Load(ctx); err != nil {
+		t.Fatal(err)
+	}
+	ops := append(ended.Ops("wk-7", ended.Tombstone{Status: job.Done, Tasks: 5}, ended.Former), statekv.Op{Set: "robin/job/wk-8", Value: 1})
+	rev, err := state.Txn(ctx, nil, ops)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); mirror.Run(ctx) }()
+	if err := mirror.Wait(ctx, rev); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	<-done
+	if read != 2 || len(got) != 3 || got[0].ID != "wk-7" || got[0].Status != job.Done || got[0].Tasks != 5 {
+		t.Errorf("%d values were read, changes %+v", read, got)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -249,15 +249,16 @@
 	return s
 }
 
-// OnEnded keeps the answer for a job that is over, if key is the record of one.
-func (g *Gateway) OnEnded(key string, value json.RawMessage) {
-	id, f, ok, err := ended.Parse(key, value)
+// OnEnded keeps the answer for a job that is over, if an event is the writing of its
+// tombstone.
+func (g *Gateway) OnEnded(e statekv.Event) {
+	c, ok := ended.ChangeOf(e)
 	switch {
 	case !ok:
-	case err != nil:
-		slog.Error("a value cannot be read; it is left as it is", "key", key, "err", err)
+	case c.Err != nil:
+		slog.Error("a value cannot be read; it is left as it is", "key", e.Set, "err", c.Err)
 	default:
-		g.keepTombstone(id, f)
+		g.keepTombstone(c.ID, c.Tombstone)
 	}
 }
 
--- a/gateway/pipelines_test.go
+++ b/gateway/pipelines_test.go
@@ -78,7 +78,7 @@
 		l.Mirror = statekv.NewMirror(state, []string{statekv.FleetPrefix, job.OpenPrefix, job.PiecePrefix}, statekv.RootPrefix, time.Second, 0, func(events []statekv.Event) {
 			for _, e := range events {
 				l.Placer.OnJobEvent(e)
-				d.g.OnEnded(e.Set, e.Value)
+				d.g.OnEnded(e)
 			}
 		})
 		l.Pipes = pipeline.NewTracker(l.Mirror, func(*job.Spec) time.Duration { return time.Second }, d.g.Tombstone)
--- a/pipeline/tracker.go
+++ b/pipeline/tracker.go
@@ -84,8 +84,8 @@
 	}
 	// A job's end and its final record come with one revision, in either order.
 	for _, e := range events {
-		if id, r, ok, err := ended.Parse(e.Set, e.Value); ok && err == nil && t.after[id] > 0 {
-			t.settle(id, r)
+		if c, ok := ended.ChangeOf(e); ok && c.Err == nil && t.after[c.ID] > 0 {
+			t.settle(c.ID, c.Tombstone)
 		}
 	}
 }
--- a/statekv/client.go
+++ b/statekv/client.go
@@ -74,6 +74,8 @@
 	Value  json.RawMessage `json:"data"`
 	Delete string          `json:"delete"`
 	Rev    uint64          `json:"key_rev"`
+
+	Parsed any `json:"-"` // what Mirror.Parse made of the value, once for all who follow
 }
 
 // Key is the key the event is about.
--- a/statekv/mirror.go
+++ b/statekv/mirror.go
@@ -23,9 +23,9 @@
 	pause  time.Duration // least time between two watches: each counts as a request
 	onNews func([]Event)
 
-	// Parse reads a kept value once, so that those who look through many keys
-	// need not; nil reads nothing. An error in its place says why the value cannot be
-	// read. Set it before Load.
+	// Parse reads the value of a kept key or of a change once, so that those who look
+	// through many keys, and all who follow, need not; nil reads nothing. An error in its
+	// place says why the value cannot be read. Set it before Load.
 	Parse func(key string, value json.RawMessage) any
 
 	// First gets every change, and nil when all was read anew, before the revision counts
@@ -95,13 +95,10 @@
 
 func dirOf(key string) string { return key[:strings.LastIndexByte(key, '/')+1] }
 
-// put stores a key in dirs, with its value read.
+// put stores a key whose value was read in dirs.
 func (m *Mirror) put(dirs map[string]map[string]KV, kv KV) {
-	if m.Parse != nil {
-		kv.Parsed = m.Parse(kv.Key, kv.Value)
-		if err, ok := kv.Parsed.(error); ok {
-			m.Unreadable(kv.Key, err)
-		}
+	if err, ok := kv.Parsed.(error); ok {
+		m.Unreadable(kv.Key, err)
 	}
 	dir := dirOf(kv.Key)
 	if dirs[dir] == nil {
@@ -110,6 +107,13 @@
 	dirs[dir][kv.Key] = kv
 }
 
+func (m *Mirror) parse(key string, value json.RawMessage) any {
+	if m.Parse == nil {
+		return nil
+	}
+	return m.Parse(key, value)
+}
+
 // Load reads the kept keys anew.
 func (m *Mirror) Load(ctx context.Context) error {
 	sent := time.Now()
@@ -130,6 +134,7 @@
 				rev, first = p.Rev, false
 			}
 			for _, kv := range p.Items {
+				kv.Parsed = m.parse(kv.Key, kv.Value)
 				m.put(dirs, kv)
 				after = kv.Key
 			}
@@ -185,6 +190,11 @@
 }
 
 func (m *Mirror) apply(news News, sent time.Time) {
+	for k := range news.Events {
+		if e := &news.Events[k]; e.Set != "" {
+			e.Parsed = m.parse(e.Set, e.Value)
+		}
+	}
 	m.applyEvents(news.Events)
 	if m.First != nil && len(news.Events) > 0 {
 		m.First(news.Events)
@@ -212,7 +222,7 @@
 		}
 		m.readable(key)
 		if e.Set != "" {
-			m.put(m.dirs, KV{Key: key, Value: e.Value, Rev: e.Rev})
+			m.put(m.dirs, KV{Key: key, Value: e.Value, Rev: e.Rev, Parsed: e.Parsed})
 		} else {
 			dir := dirOf(key)
 			if delete(m.dirs[dir], key); len(m.dirs[dir]) == 0 {
