Meetings: three stories that could not fail

Found by planting faults: with a new owner that settles by any report, a cancellation without the record's revision, and an owner that never falls silent, the stories of old reports, of ends and of a zone cut off still passed. In them a copy listed all that ran; the state service answered in no time, so that nothing came between a look and a write; and machines were returned before the hold time mattered. Now reports are kept from before work began and are the first that a new owner gets, each request takes 25 ms, and machines of the zone are too many, and boot too long, to be returned.

--- a/fakes/fleet.go
+++ b/fakes/fleet.go
@@ -412,6 +412,9 @@
 // Session is the worker's.
 func (u *Unit) Session() uint64 { return u.session }
 
+// Kept reports whether one of its reports is kept.
+func (u *Unit) Kept() bool { return u.kept != nil }
+
 // Lists reports whether the kept report lists a task that has not ended.
 func (u *Unit) Lists(task string) bool {
 	return u.kept != nil && slices.ContainsFunc(u.kept.Tasks, func(t worker.Task) bool { return t.ID == task && t.State != worker.Ended })
--- a/meetings/ends_test.go
+++ b/meetings/ends_test.go
@@ -15,6 +15,9 @@
 // Each job has one final answer, the same at every node and for good.
 func TestEndMeetsCancellationQuestionAndRepetition(t *testing.T) {
 	storyOfMachines(t, 91, 5, 40, func(w *world) {
+		for _, h := range w.hosts {
+			w.port(h).Trouble(25*time.Millisecond, 0) // between a look and a write there is time
+		}
 		var mu sync.Mutex
 		specs := map[string]job.Spec{}
 		finals := map[string]int{}
--- a/meetings/handover_test.go
+++ b/meetings/handover_test.go
@@ -277,17 +277,27 @@
 func TestOldReportsReachEveryControllerAsANewLeaderBegins(t *testing.T) {
 	for _, role := range leaders {
 		for _, back := range backsOf(role) {
-			for _, session := range []string{"the same session", "an ended session"} {
+			for _, session := range []string{"the same session", "an ended session", "before its work began"} {
 				t.Run(fmt.Sprint(session, ", the ", role, " is back after ", back), func(t *testing.T) {
 					t.Parallel()
 					story(t, 65, func(w *world) {
 						short, long := in("a", array(w.id(), 2)), in("a", array(w.id(), 2))
 						w.submit("host-0", short, 15*time.Second)
 						w.submit("host-0", long, 3*time.Minute)
+						first := in("a", array(w.id(), 6))
+						w.submit("host-0", first, 5*time.Second)
 						w.until("both run", time.Minute, func() bool { return w.history.On(short.ID) == 2 && w.history.On(long.ID) == 2 })
+						w.until("the first is over", time.Minute, func() bool { return w.history.Completed(job.TaskID(first.ID, 5)) && w.history.On(first.ID) == 0 })
 						time.Sleep(4 * time.Second)
 						w.fleet.Each(func(_ string, u *fakes.Unit) { u.Keep() })
-						if session == "an ended session" {
+						if session == "before its work began" {
+							// What has begun since is in no kept report, and a new owner gets
+							// those before it hears from anybody else.
+							long = in("a", array(w.id(), 6))
+							w.submit("host-0", long, 3*time.Minute)
+							w.until("the long one runs too", time.Minute, func() bool { return w.history.On(long.ID) == 6 })
+							time.Sleep(4 * time.Second)
+						} else if session == "an ended session" {
 							// Answers come too late for the workers: their leases run out.
 							w.fleet.Each(func(_ string, u *fakes.Unit) { u.HoldAnswers = 4500 * time.Millisecond })
 							time.Sleep(workers.Lease + 6*time.Second)
@@ -300,7 +310,16 @@
 							time.Sleep(8 * time.Second) // it is forgotten
 						}
 						before, lives := w.history.Starts(), w.lives()
-						if n := w.kept(short.ID, session == "an ended session"); n == 0 {
+						if session == "before its work began" {
+							if n := w.keptWithout(long.ID); n == 0 {
+								w.t.Fatal("no kept report was made before its machine's work began: this shows nothing")
+							}
+							w.fleet.Each(func(_ string, u *fakes.Unit) { u.Mute, u.Lost = true, true })
+							go func() {
+								time.Sleep(max(0, back) + 10*time.Second)
+								w.fleet.Each(func(_ string, u *fakes.Unit) { u.Mute, u.Lost = false, false })
+							}()
+						} else if n := w.kept(short.ID, session == "an ended session"); n == 0 {
 							w.t.Fatal("no kept report lists a task that is over: this shows nothing")
 						}
 						bring := w.end(w.leading(role, long.ID), back)
@@ -354,6 +373,19 @@
 	return n
 }
 
+// keptWithout counts the machines that have a task of a job and whose kept report does not
+// list it.
+func (w *world) keptWithout(id string) (n int) {
+	w.fleet.Each(func(_ string, u *fakes.Unit) {
+		for k := range 6 {
+			if task := job.TaskID(id, k); u.Kept() && u.Has(task) && !u.Lists(task) {
+				n++
+			}
+		}
+	})
+	return n
+}
+
 // sendKept sends the kept reports of all machines to all controllers at once, and returns
 // how many reached one that answered.
 func (w *world) sendKept() (arrived int) {
--- a/meetings/more_test.go
+++ b/meetings/more_test.go
@@ -16,14 +16,16 @@
 	for _, for_ := range []time.Duration{20 * time.Second, 45 * time.Second, 2 * time.Minute} {
 		t.Run(for_.String(), func(t *testing.T) {
 			t.Parallel()
-			story(t, 101, func(w *world) {
+			// Machines boot for so long that silent ones are waited for, and not returned,
+			storyWithBoots(t, 101, 40, func(w *world) {
 				inside, called := in("b", array(w.id(), 2)), in("b", array(w.id(), 2))
-				for _, s := range []job.Spec{inside, called} {
+				// And so many that they are not returned at once as few that do not answer.
+				for _, s := range []job.Spec{inside, called, in("b", array(w.id(), 4)), in("b", array(w.id(), 4))} {
 					if !w.submit("host-0", s, 4*time.Minute) {
 						w.t.Fatal("not accepted")
 					}
 				}
-				w.until("they run", time.Minute, func() bool { return w.history.On(inside.ID) == 2 && w.history.On(called.ID) == 2 })
+				w.until("they run", 3*time.Minute, func() bool { return w.history.On(inside.ID) == 2 && w.history.On(called.ID) == 2 })
 				time.Sleep(10 * time.Second)
 				if h := w.ownerOf(w.history.Where(inside.ID)); h != "host-1" {
 					w.t.Fatalf("the owner is %s: this shows nothing", h)
