--- a/meetings/handover_test.go
+++ b/meetings/handover_test.go
@@ -40,13 +40,7 @@
 								}
 								first = append(first, s)
 							}
-							w.until("all run", 2*time.Minute, func() bool {
-								n := 0
-								for _, s := range first {
-									n += w.history.On(s.ID)
-								}
-								return n == 10
-							})
+							w.until("all run", 2*time.Minute, func() bool { return w.on(first) == 10 })
 							for _, s := range []job.Spec{team("full", 2), team("small", 1), team("full", 3), team("small", 2)} {
 								if !w.submit("", s, 20*time.Second) {
 									w.t.Fatal("not accepted")
@@ -122,13 +116,7 @@
 						}
 						jobs = append(jobs, s)
 					}
-					w.until("they run", 3*time.Minute, func() bool {
-						n := 0
-						for _, s := range jobs {
-							n += w.history.On(s.ID)
-						}
-						return n == len(jobs)
-					})
+					w.until("they run", 3*time.Minute, func() bool { return w.on(jobs) == len(jobs) })
 					time.Sleep(10 * time.Second)
 					lead := w.leading(role, jobs[0].ID)
 					if len(lead) != 1 || lead[0] == "" {
@@ -195,13 +183,7 @@
 							jobs = append(jobs, s)
 							go w.submit("", s, 25*time.Second)
 						}
-						w.until("some run", 2*time.Minute, func() bool {
-							n := 0
-							for _, s := range jobs {
-								n += w.history.On(s.ID)
-							}
-							return n >= 2
-						})
+						w.until("some run", 2*time.Minute, func() bool { return w.on(jobs) >= 2 })
 						up := 0
 						w.fleet.Each(func(string, *fakes.Unit) { up++ })
 						on := ""
--- a/meetings/roles_test.go
+++ b/meetings/roles_test.go
@@ -75,6 +75,14 @@
 	return func() {}
 }
 
+// on counts the tasks of jobs that are on machines.
+func (w *world) on(jobs []job.Spec) (n int) {
+	for _, s := range jobs {
+		n += w.history.On(s.ID)
+	}
+	return n
+}
+
 // lives tells how often controllers' lives have begun: it changes with each.
 func (w *world) lives() (sum uint64) {
 	for _, h := range w.hosts {
--- a/meetings/unreachable_test.go
+++ b/meetings/unreachable_test.go
@@ -95,8 +95,10 @@
 					}
 					w.fleet.Each(func(_ string, u *fakes.Unit) { u.Hung = true })
 					bring := trouble(w, array.ID)
-					if !<-told || !<-told {
-						w.t.Fatal("not told as cancelled")
+					for range cap(told) {
+						if !<-told {
+							w.t.Fatal("not told as cancelled")
+						}
 					}
 					if w.history.On(array.ID)+w.history.On(gang.ID) == 0 {
 						w.t.Fatal("nothing was on machines: this shows nothing")
