--- a/meetings/handover_test.go
+++ b/meetings/handover_test.go
@@ -24,7 +24,18 @@
 				for k, back := range backsOf(role) {
 					t.Run(fmt.Sprint(what, " for ", for_, ", the ", role, " is back after ", back), func(t *testing.T) {
 						t.Parallel()
-						story(t, 61, func(w *world) {
+						storyOfMachines(t, 61, 5, 40, func(w *world) {
+							// Every owner has so many machines that those which do not answer its
+							// successor are waited for, and not returned as few.
+							var fill []job.Spec
+							for _, zone := range zones {
+								s := in(zone, array(w.id(), 10))
+								if !w.submit("", s, time.Hour) {
+									w.t.Fatal("not accepted")
+								}
+								fill = append(fill, s)
+							}
+							w.until("machines are up", 2*time.Minute, func() bool { return w.on(fill) == 30 })
 							team := func(name string, n int) job.Spec {
 								s := array(w.id(), n)
 								s.Team = name
@@ -49,7 +60,6 @@
 							time.Sleep(10 * time.Second)
 							cancelled := first[:2]
 							hit := map[string]bool{}
-							// So many that they are waited for, and not returned.
 							w.fleet.Each(func(name string, _ *fakes.Unit) { hit[name] = true })
 							for name := range hit {
 								w.unitOf(name, func(u *fakes.Unit) { set(u, true) })
@@ -81,7 +91,7 @@
 							if stayed := w.history.Stayed(); back < workersAway && (len(stayed) == 0 || stayed[len(stayed)-1] < 5*time.Second) {
 								w.t.Errorf("tasks stayed for %v after they were told: this shows nothing", stayed)
 							}
-							for _, s := range first[2:] { // the rest of the first ends
+							for _, s := range append(fill, first[2:]...) { // the rest ends
 								w.cancel("", s.ID)
 							}
 							time.Sleep(2 * time.Minute)
