--- a/meetings/close_test.go
+++ b/meetings/close_test.go
@@ -245,3 +245,50 @@
 		w.check()
 	})
 }
+
+// Controllers begin while nobody knows the machine types: what is malformed is refused, and
+// nothing else is decided, neither refused for good nor taken in. A known job is known.
+func TestNothingIsDecidedWhileMachineTypesAreUnknown(t *testing.T) {
+	story(t, 45, func(w *world) {
+		known := array(w.id(), 1)
+		if !w.submit("host-0", known, time.Hour) {
+			w.t.Fatal("not accepted")
+		}
+		w.until("types are kept", time.Minute, func() bool { return w.rev(statekv.TypesKey) > 0 })
+		w.end(w.hosts, never)
+		w.fleet.Offer(nil)
+		if _, err := w.state.Txn(w.ctx, nil, []statekv.Op{{Delete: statekv.TypesKey}}); err != nil {
+			w.t.Fatal(err)
+		}
+		for _, h := range w.hosts {
+			w.start(h)
+		}
+		time.Sleep(10 * time.Second)
+		for _, h := range w.hosts {
+			good, unfit := array(w.id(), 1), array(w.id(), 1)
+			unfit.GPUs = 100
+			for _, s := range []job.Spec{good, unfit} {
+				w.history.Offers(s)
+				if code, _ := w.call(h, http.MethodPost, "/submissions", wireSpec(s), 5*time.Second); code != 503 {
+					w.t.Errorf("%s at %s: %d", s.ID, h, code)
+				}
+				if w.rev(job.OpenKey(s.ID)) > 0 {
+					w.t.Errorf("%s was taken in", s.ID)
+				}
+			}
+			m := wireSpec(good).(map[string]any)
+			delete(m, "cpus")
+			if code, _ := w.call(h, http.MethodPost, "/submissions", m, 5*time.Second); code != 400 {
+				w.t.Errorf("one that lacks a field at %s: %d", h, code)
+			}
+			asked := w.history.Asking()
+			code, status := w.call(h, http.MethodPost, "/submissions", wireSpec(known), 5*time.Second)
+			w.history.Told("submit", known.ID, asked, code, status)
+			if code == 400 || code == 422 {
+				w.t.Errorf("a known job, submitted again at %s: %d", h, code)
+			}
+			w.ask1(h, known.ID)
+		}
+		w.check()
+	})
+}
