--- a/meetings/lost_test.go
+++ b/meetings/lost_test.go
@@ -27,7 +27,7 @@
 							w.port(h).Trouble(0, share)
 						}
 						lost := w.lostAnswers()
-						for k := range 6 {
+						for k := range 12 {
 							s := array(w.id(), 1+k%3)
 							go w.submitApart("", s, 5*time.Second, 3*time.Second)
 							if k%3 == 0 {
@@ -45,8 +45,9 @@
 						for _, h := range w.hosts {
 							w.port(h).Trouble(0, 0)
 						}
-						if n := w.lostAnswers() - lost; n < 10 {
-							w.t.Errorf("%d transactions were carried out without an answer: this shows little", n)
+						n := w.lostAnswers() - lost
+						if w.t.Logf("%d transactions were carried out without an answer", n); n < 10 {
+							w.t.Error("this shows little")
 						}
 						bring()
 						w.history.Calm()
