--- a/fakes/port.go
+++ b/fakes/port.go
@@ -23,6 +23,7 @@
 	lateBy       time.Duration // 0: drawn
 	atOnce       bool          // what is late is carried out at once: only its answer is lost
 	lost         int           // transactions that were carried out and got no answer
+	held         int           // transactions that got no answer, carried out or not
 	sent         int           // changes that were asked for
 	noRenewals   bool
 	lag          time.Duration // by which watches show changes later
@@ -72,6 +73,13 @@
 	p.atOnce = on
 }
 
+// Held counts the transactions that got no answer, whatever became of them.
+func (p *Port) Held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held
+}
+
 // Sent counts the changes that this controller asked for, whatever became of them.
 func (p *Port) Sent() int {
 	p.mu.Lock()
@@ -250,6 +258,7 @@
 	if p.atOnce {
 		after = 0
 	}
+	p.held++
 	p.mu.Unlock()
 	go func() {
 		time.Sleep(after)
--- a/meetings/handover_test.go
+++ b/meetings/handover_test.go
@@ -202,11 +202,25 @@
 								on = s.ID
 							}
 						}
+						lives := w.lives()
 						bring := w.end(w.leading(role, on), back)
 						for range 3 {
 							go w.submit("", array(w.id(), 2), 10*time.Second)
 						}
-						time.Sleep(25 * time.Second)
+						time.Sleep(max(25*time.Second, back+15*time.Second)) // those who are back meet it too
+						held := 0
+						for _, h := range w.hosts {
+							held += w.port(h).Held()
+						}
+						if w.t.Logf("%d transactions got no answer", held); held < 5 {
+							w.t.Error("writes hardly lagged: this shows little")
+						}
+						if back < workersAway && w.lives() == lives {
+							w.t.Error("no leader changed: this shows nothing")
+						}
+						if up == 0 {
+							w.t.Error("no machine was up when the leader ended: this shows nothing")
+						}
 						for _, h := range w.hosts {
 							w.port(h).Trouble(0, 0)
 						}
