Steward: the owner of a deleted machine is told again until its key is gone

Cause: a second late claim brings the key of a returned machine back under an owner that knows the machine from its last entry, as draining. The steward told again only owners that do not show it as draining, so that the key stayed for ten minutes, until the steward had forgotten the machine.

Change: as long as the key of a deleted machine is there, its owner is told every 2 s, whatever it shows, beside the planning and not within it.

--- a/meetings/handover_test.go
+++ b/meetings/handover_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"robinstack/agent"
 	"robinstack/fakes"
 	"robinstack/job"
 	"robinstack/statekv"
@@ -276,6 +277,40 @@
 	})
 }
 
+// A machine is drained, returned and its key removed; then a second late claim brings the key
+// back under an owner that knows the machine from its last entry: as draining. The steward
+// tells that owner that the machine is gone, so that its key does not stay until the steward
+// has forgotten the machine.
+func TestSecondLateClaimOfADrainedMachine(t *testing.T) {
+	storyWithBoots(t, 66, 1, func(w *world) {
+		w.submit("", array(w.id(), 2), 5*time.Second)
+		name, shard := "", ""
+		w.until("a machine is owned", 30*time.Second, func() bool {
+			for _, kv := range w.state.Dir(statekv.MachinePrefix) {
+				name = kv.Key[len(statekv.MachinePrefix):]
+			}
+			return name != ""
+		})
+		key := *agent.KeyOf(w.state.Dir(statekv.MachinePrefix + name)[0])
+		w.until("its key is removed", 3*time.Minute, func() bool { return w.rev(statekv.MachinePrefix+name) == 0 })
+		steward := w.holder(statekv.StewardKey)
+		for _, kv := range w.state.Dir(statekv.ShardPrefix) {
+			if h := w.holder(kv.Key); h != steward && h != "" {
+				shard = kv.Key[len(statekv.ShardPrefix):]
+			}
+		}
+		if shard == "" {
+			w.t.Fatal("no controller but the steward has a shard: this shows nothing")
+		}
+		key.Shard = shard
+		if _, err := w.state.Txn(w.ctx, []statekv.Cond{{Key: statekv.MachinePrefix + name}}, []statekv.Op{{Set: statekv.MachinePrefix + name, Value: key}}); err != nil {
+			w.t.Fatal(err)
+		}
+		w.until("its key is removed again", time.Minute, func() bool { return w.rev(statekv.MachinePrefix+name) == 0 })
+		w.check()
+	})
+}
+
 // Reports are kept, and copies of them reach every controller just as a new leader begins,
 // before and after the first true report to it: of the present session, of one that has
 // ended, with tasks that have ended since and were forgotten. Nothing is taken for gone, for
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -20,27 +20,28 @@
 
 // fleet is what the steward knows of rented machines.
 type fleet struct {
-	booting  map[string]boot
-	listed   map[string]time.Time // when a list showed it first
-	last     map[string]cloud.Machine
-	lastAt   time.Time
-	lastName string             // the machine created last that the last list shows
-	shut     map[pool]time.Time // pools that refused, until when
-	limits   map[pool]int       // machines to ask those for, once it is over
-	silent   map[string]time.Time
-	deleted  map[string]time.Time
-	requests int
-	gangs    map[string]gangClass // classes of gangs seen lately
-	retry    []cloud.Rental       // rentals without an answer, to be repeated under their names
-	resumAt  time.Time
-	toldAt   time.Time             // when the log last had the totals
-	told     map[string][2]float64 // prices that the log has, by type
-	lows     map[pool]*lowWater    // idle machines of each pool
-	uses     map[pool]*uses        // those that got work lately
-	backlog  backlog
-	boots    bootWatch
-	mute     int      // machines that have not answered their new owners
-	untold   []string // deleted machines of whose end their owners do not know
+	booting   map[string]boot
+	listed    map[string]time.Time // when a list showed it first
+	last      map[string]cloud.Machine
+	lastAt    time.Time
+	lastName  string             // the machine created last that the last list shows
+	shut      map[pool]time.Time // pools that refused, until when
+	limits    map[pool]int       // machines to ask those for, once it is over
+	silent    map[string]time.Time
+	deleted   map[string]time.Time
+	toldOwner map[string]time.Time // when the owner of a deleted machine was told again
+	requests  int
+	gangs     map[string]gangClass // classes of gangs seen lately
+	retry     []cloud.Rental       // rentals without an answer, to be repeated under their names
+	resumAt   time.Time
+	toldAt    time.Time             // when the log last had the totals
+	told      map[string][2]float64 // prices that the log has, by type
+	lows      map[pool]*lowWater    // idle machines of each pool
+	uses      map[pool]*uses        // those that got work lately
+	backlog   backlog
+	boots     bootWatch
+	mute      int      // machines that have not answered their new owners
+	untold    []string // deleted machines of whose end their owners do not know
 }
 
 // gangClass is a class of gangs for which room is kept ready.
@@ -60,7 +61,7 @@
 
 func newFleet() fleet {
 	return fleet{booting: map[string]boot{}, listed: map[string]time.Time{}, last: map[string]cloud.Machine{}, shut: map[pool]time.Time{}, limits: map[pool]int{},
-		gangs: map[string]gangClass{}, lows: map[pool]*lowWater{}, uses: map[pool]*uses{}, silent: map[string]time.Time{}, deleted: map[string]time.Time{}, told: map[string][2]float64{}}
+		gangs: map[string]gangClass{}, lows: map[pool]*lowWater{}, uses: map[pool]*uses{}, silent: map[string]time.Time{}, deleted: map[string]time.Time{}, toldOwner: map[string]time.Time{}, told: map[string][2]float64{}}
 }
 
 // runList reads the cloud's list and prices from time to time.
@@ -217,12 +218,28 @@
 			tick.Reset(planMute)
 		}
 		s.mu.Unlock()
-		s.tellOwners(ctx, untold)
+		select {
+		case s.retell <- untold:
+		default: // the former ones are still being told
+		}
 		s.giveBack(ctx, returns)
 		s.remove(ctx, deletes)
 	}
 }
 
+// runRetelling tells owners once more of machines that the cloud has deleted, beside the
+// planning: an owner that does not answer must not hold that up.
+func (s *Steward) runRetelling(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case names := <-s.retell:
+			s.tellOwners(ctx, names)
+		}
+	}
+}
+
 // planFleet decides what to rent, what idle machines to return, and which
 // machines are lost and have to be deleted.
 func (s *Steward) planFleet(now time.Time) (rentals []cloud.Rental, returns, deletes []string) {
@@ -243,10 +260,8 @@
 	for _, e := range entries {
 		present[e.Machine] = true
 		f.cameUp(e.Machine, now)
-		if at := f.deleted[e.Machine]; !at.IsZero() {
-			// Its key is still to be removed. An owner that took over since then
-			// has to be told.
-			if !e.Draining && now.Sub(at) > 2*time.Second {
+		if !f.deleted[e.Machine].IsZero() {
+			if f.mayNotKnow(e.Machine, now) {
 				f.untold = append(f.untold, e.Machine)
 			}
 			continue
@@ -280,6 +295,7 @@
 	for name, at := range f.deleted {
 		if now.Sub(at) > 10*time.Minute {
 			delete(f.deleted, name)
+			delete(f.toldOwner, name)
 			delete(f.listed, name)
 			delete(f.silent, name)
 		}
@@ -339,6 +355,25 @@
 	return rentals, append(returns, s.spare(bins, idle, now)...), deletes
 }
 
+// tellAgainAfter is how long the owner of a deleted machine has to remove its key before it
+// is told once more.
+const tellAgainAfter = 2 * time.Second
+
+// mayNotKnow reports whether the owner of a deleted machine, whose key is still there, is to
+// be told now. It may have taken the machine over, or claimed it anew by a late write, after
+// its former owner was told; what it shows, draining included, may be what it took over.
+func (f *fleet) mayNotKnow(machine string, now time.Time) bool {
+	last := f.toldOwner[machine]
+	if last.IsZero() {
+		last = f.deleted[machine]
+	}
+	if now.Sub(last) <= tellAgainAfter {
+		return false
+	}
+	f.toldOwner[machine] = now
+	return true
+}
+
 // tellFleet logs the totals that renting and returning go by.
 func (s *Steward) tellFleet(bins []*bin, demands []Demand, machines, booting int) {
 	empty, planned, waiting := 0, 0, 0
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -39,6 +39,8 @@
 	ledger  ledger
 	demand  map[string]demandAt
 	fleet   fleet
+
+	retell chan []string // deleted machines of whose end their owners may not know
 }
 
 type demandAt struct {
@@ -49,7 +51,7 @@
 // New returns a steward that does not hold the role yet.
 func New(settings *config.Settings, pol *policy.Policy, mirror *statekv.Mirror, member *statekv.Member, call agent.Caller, api cloud.API, catalogue *cloud.Catalogue) *Steward {
 	return &Steward{settings: settings, policy: pol, mirror: mirror, member: member, call: call, cloud: api, catalogue: catalogue,
-		ledger: newLedger(), kept: map[string]reserved{}, demand: map[string]demandAt{}, fleet: newFleet()}
+		ledger: newLedger(), kept: map[string]reserved{}, demand: map[string]demandAt{}, fleet: newFleet(), retell: make(chan []string)}
 }
 
 // Epoch is the steward epoch if this controller is steward, or 0.
@@ -67,6 +69,7 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { s.runList(ctx) })
 	duties.Go(func() { s.runFleet(ctx) })
+	duties.Go(func() { s.runRetelling(ctx) })
 	tick := time.NewTicker(300 * time.Millisecond)
 	defer tick.Stop()
 	for ctx.Err() == nil {
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -293,3 +293,22 @@
 		}
 	})
 }
+
+// A machine that was deleted has its key again, by a late claim, and its owner shows it as
+// draining, which is what it took over: that owner is told, and told again until the key is
+// gone. It was not for ten minutes.
+func TestOwnerOfADeletedMachineIsToldAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newSteward(t, t.Context())
+		now := time.Now()
+		s.fleet.deleted["m1"] = now
+		for _, step := range []struct {
+			after time.Duration
+			told  bool
+		}{{time.Second, false}, {2500 * time.Millisecond, true}, {3500 * time.Millisecond, false}, {5 * time.Second, true}} {
+			if told := s.fleet.mayNotKnow("m1", now.Add(step.after)); told != step.told {
+				t.Errorf("after %v: told %v", step.after, told)
+			}
+		}
+	})
+}
