Steward: what is left of a job that must be in one zone is rented in that zone

Cause: the demand of an array that must be in one zone, and whose running tasks hold it there, names no zone. The steward counted a free machine of another zone for the rest, or rented in another, and what was left waited for as long as the others ran.

--- a/fakes/history.go
+++ b/fakes/history.go
@@ -177,6 +177,13 @@
 	return ""
 }
 
+// Machine is the machine that a task is on, or "".
+func (h *History) Machine(task string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.on[task].machine
+}
+
 // Jobs lists the jobs that were accepted.
 func (h *History) Jobs() []string {
 	h.mu.Lock()
--- a/meetings/more_test.go
+++ b/meetings/more_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -282,6 +283,48 @@
 	}
 }
 
+// An array that must be in one zone loses the machine of two of its tasks while its zone has
+// no more room and a machine of another zone has, which cannot serve it: one is rented in its
+// zone.
+func TestArrayOfOneZoneGetsAMachineThere(t *testing.T) {
+	story(t, 107, func(w *world) {
+		one := array(w.id(), 3)
+		one.OneZone = true
+		if !w.submit("", one, 10*time.Minute) {
+			w.t.Fatal("not accepted")
+		}
+		w.until("it runs", time.Minute, func() bool { return w.history.On(one.ID) == 3 })
+		zone, lost := "", ""
+		tasks := map[string]int{}
+		for index := range one.Tasks {
+			tasks[w.history.Machine(job.TaskID(one.ID, index))]++
+		}
+		for machine, n := range tasks {
+			w.unitOf(machine, func(u *fakes.Unit) { zone = u.Zone() })
+			if n == 2 {
+				lost = machine
+			}
+		}
+		if lost == "" {
+			w.t.Fatalf("its tasks are on %v: no machine has two", tasks)
+		}
+		for w.fleet.Fits(in(zone, array("", 1)), 1) { // no other machine of its zone has room
+			filler := in(zone, array(w.id(), 1))
+			w.submit("", filler, 10*time.Minute)
+			w.until("the zone's room is taken", time.Minute, func() bool { return w.history.On(filler.ID) == 1 })
+		}
+		other := zones[(slices.Index(zones, zone)+1)%len(zones)]
+		elsewhere := in(other, array(w.id(), 1))
+		elsewhere.CPUs, elsewhere.GPUs = 5, 0 // its machine has room for two of the others all the time
+		w.submit("", elsewhere, 10*time.Minute)
+		w.until("a machine of another zone has room", time.Minute, func() bool { return w.history.On(elsewhere.ID) == 1 && w.fleet.Fits(in(other, array("", 2)), 2) })
+		w.unitOf(lost, func(u *fakes.Unit) { u.Kill() })
+		w.until("it has lost two tasks", 90*time.Second, func() bool { return w.history.On(one.ID) == 1 })
+		w.until("it runs whole again", 90*time.Second, func() bool { return w.history.On(one.ID) == 3 })
+		w.check()
+	})
+}
+
 // A report is held back until a new leader has acted, and then arrives there, as the first
 // that anybody gets of it.
 func TestReportHeldBackUntilANewLeaderHasActed(t *testing.T) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -414,6 +414,9 @@
 			case j.done.Has(i):
 			case j.tasks[i].status == placed:
 				d.Running++
+				if j.spec.OneZone {
+					d.Zone = j.tasks[i].zone
+				}
 			default:
 				d.Waiting++
 			}
--- a/steward/plan.go
+++ b/steward/plan.go
@@ -270,8 +270,8 @@
 		}
 		p.idle = d.Spec.Priority() == job.LowestPriority && !d.Warm
 		p.urgent = (turn.growing || d.AgeS > urgentAge) && !p.idle
-		zone := ""
-		if d.Spec.OneZone && d.Spec.Shape == job.Gang {
+		zone := d.Zone
+		if zone == "" && d.Spec.OneZone && d.Spec.Shape == job.Gang {
 			zone = p.zoneFor(&d.Spec, left, zones)
 		}
 		if left = p.fill(&d.Spec, zone, left, false); left > 0 {
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -312,3 +312,15 @@
 		}
 	})
 }
+
+// What is left of a job that must be in one zone is put and rented for in the zone where its
+// running tasks hold it, although another has a free machine and cheaper ones.
+func TestJobHeldInAZoneRentsThere(t *testing.T) {
+	types := map[string]cloud.MachineType{"box": {Name: "box", CPUs: 16, GPUs: 2, MemoryGB: 64, Price: 10, Zones: []string{"a", "b"}}}
+	elsewhere := &bin{name: "m1", typeName: "box", zone: "a", free: job.Need{CPUs: 16, GPUs: 2, MemoryGB: 64}}
+	spec := job.Spec{Shape: job.Array, OneZone: true, Rank: "normal", Need: job.Need{CPUs: 1, GPUs: 1, MemoryGB: 1}}
+	rent, _ := packing([]Demand{{Spec: spec, Waiting: 2, Running: 1, Zone: "b"}}, []*bin{elsewhere}, turnover{}, offers(types, func(pool) int { return 10 }), 10)
+	if want := (pool{"box", "b", false}); len(rent) != 1 || rent[want] != 1 || elsewhere.used {
+		t.Errorf("rented %v, a machine of the other zone is used: %v", rent, elsewhere.used)
+	}
+}
--- a/steward/wire.go
+++ b/steward/wire.go
@@ -43,7 +43,8 @@
 	Waiting int
 	Running int
 	AgeS    float64
-	Warm    bool // room kept ready for gangs to come
+	Warm    bool   // room kept ready for gangs to come
+	Zone    string // where its tasks hold a job that must be in one zone; "": nowhere yet
 }
 
 // DemandRequest tells the steward what a controller's jobs need.
