Stand-ins: the history keeps the tasks on machines by their job

Cause: each start and each look went through all tasks on all machines, and at thousands of tasks that is what a load tool would measure. Change: they are kept by job; the history also counts repeated starts, the most by which a team was beyond its limit, and tells of first starts with their waits.

--- a/fakes/history.go
+++ b/fakes/history.go
@@ -21,10 +21,12 @@
 
 	mu     sync.Mutex
 	jobs   map[string]*past
-	on     map[string]stay // where each task is
 	used   map[string]job.Need
+	over   float64 // most GPUs by which a team was beyond its limit
 	broken []string
 	starts int
+	again  int // starts of tasks that had been started before
+	first  func(spec job.Spec, index int, waited time.Duration)
 	after  int // starts of tasks after their jobs were told as cancelled
 	stayed []time.Duration
 	order  Moment
@@ -83,6 +85,9 @@
 // past is what is known of a job.
 type past struct {
 	spec     job.Spec
+	offered  time.Time // when its user submitted it first
+	on       map[int]stay
+	started  map[int]bool // tasks that were on a machine
 	accepted bool
 	since    time.Time // since when it is
 	known    Moment    // when its user was told so
@@ -107,7 +112,7 @@
 
 // NewHistory returns a history in which nothing has happened.
 func NewHistory(settings *config.Settings) *History {
-	return &History{settings: settings, began: time.Now(), jobs: map[string]*past{}, on: map[string]stay{}, used: map[string]job.Need{}}
+	return &History{settings: settings, began: time.Now(), jobs: map[string]*past{}, used: map[string]job.Need{}}
 }
 
 // Began is when the history began.
@@ -123,10 +128,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	out := slices.Clone(h.broken)
-	for task, s := range h.on {
-		id, _, _ := job.SplitTaskID(task)
-		if p := h.jobs[id]; p != nil && !p.told.IsZero() && time.Since(p.told) > h.settings.Workers.CancelGone {
-			out = append(out, fmt.Sprintf("ran_cancelled: %s is on %s %v after its user was told", task, s.machine, time.Since(p.told)))
+	for id, p := range h.jobs {
+		if p.told.IsZero() || time.Since(p.told) <= h.settings.Workers.CancelGone {
+			continue
+		}
+		for index, s := range p.on {
+			out = append(out, fmt.Sprintf("ran_cancelled: %s is on %s %v after its user was told", job.TaskID(id, index), s.machine, time.Since(p.told)))
 		}
 	}
 	return out
@@ -154,34 +161,67 @@
 	return h.starts
 }
 
-func (h *History) On(id string) (n int) {
+func (h *History) On(id string) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for task := range h.on {
-		if of, _, _ := job.SplitTaskID(task); of == id {
-			n++
-		}
+	if p := h.jobs[id]; p != nil {
+		return len(p.on)
+	}
+	return 0
+}
+
+// Running counts the tasks of all jobs that are on machines, and StartedAgain the starts of
+// tasks that had been started before.
+func (h *History) Running() (n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range h.jobs {
+		n += len(p.on)
 	}
 	return n
 }
 
+func (h *History) StartedAgain() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.again
+}
+
+// Overshoot is the most GPUs by which a team was beyond its limit.
+func (h *History) Overshoot() float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.over
+}
+
+// OnFirstStart has f called at the first start of each task, with the time since its user
+// submitted its job first. It must not ask the history.
+func (h *History) OnFirstStart(f func(spec job.Spec, index int, waited time.Duration)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.first = f
+}
+
 // Where is the machine that a job's first task found is on, or "".
 func (h *History) Where(id string) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, task := range slices.Sorted(maps.Keys(h.on)) {
-		if of, _, _ := job.SplitTaskID(task); of == id {
-			return h.on[task].machine
-		}
+	p := h.jobs[id]
+	if p == nil || len(p.on) == 0 {
+		return ""
 	}
-	return ""
+	return p.on[slices.Min(slices.Collect(maps.Keys(p.on)))].machine
 }
 
 // Machine is the machine that a task is on, or "".
 func (h *History) Machine(task string) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.on[task].machine
+	id, index, _ := job.SplitTaskID(task)
+	if p := h.jobs[id]; p != nil {
+		return p.on[index].machine
+	}
+	return ""
 }
 
 // Jobs lists the jobs that were accepted.
@@ -214,7 +254,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.jobs[spec.ID] == nil {
-		h.jobs[spec.ID] = &past{spec: spec, complete: map[int]bool{}}
+		h.jobs[spec.ID] = &past{spec: spec, offered: time.Now(), complete: map[int]bool{}, on: map[int]stay{}, started: map[int]bool{}}
 	}
 }
 
@@ -315,13 +355,13 @@
 	id, index, _ := job.SplitTaskID(task)
 	h.note(id, "%d starts on %s", index, machine)
 	p := h.jobs[id]
-	if s, twice := h.on[task]; twice {
-		h.breaks("ran_twice", "%s starts on %s while it is on %s", task, machine, s.machine)
-	}
 	if p == nil {
 		h.breaks("invented", "%s starts and nobody submitted it", task)
 		return
 	}
+	if s, twice := p.on[index]; twice {
+		h.breaks("ran_twice", "%s starts on %s while it is on %s", task, machine, s.machine)
+	}
 	if !p.told.IsZero() {
 		h.after++
 	}
@@ -331,11 +371,10 @@
 	if !p.spec.Allows(typeName, zone, spot) {
 		h.breaks("wrong_place", "%s starts on %s", task, machine)
 	}
-	inZone, in := map[string]int{zone: 1}, 1
-	for other, s := range h.on {
-		if of, k, _ := job.SplitTaskID(other); of == id && k != index {
+	inZone := map[string]int{zone: 1}
+	for other, s := range p.on {
+		if other != index {
 			inZone[s.zone]++
-			in++
 		}
 	}
 	if p.spec.OneZone && len(inZone) > 1 || p.spec.Spread && inZone[zone] > (p.spec.Tasks+1)/2 {
@@ -349,12 +388,18 @@
 	if p.complete[index] {
 		h.breaks("ran_twice", "%s starts anew although it has completed", task)
 	}
-	p.begun = true
-	h.on[task] = stay{machine, zone, time.Now()}
+	if p.started[index] {
+		h.again++
+	} else if h.first != nil {
+		h.first(p.spec, index, time.Since(p.offered))
+	}
+	p.begun, p.started[index] = true, true
+	p.on[index] = stay{machine, zone, time.Now()}
 	h.used[p.spec.Team] = h.used[p.spec.Team].Add(p.spec.Need, 1)
 	team, use := h.settings.Teams[p.spec.Team], h.used[p.spec.Team]
 	if team.GPUsMax > 0 && use.GPUs > team.GPUsMax+1e-6 || team.CPUsMax > 0 && use.CPUs > team.CPUsMax+1e-6 {
 		h.breaks("quota", "team %s uses %v", p.spec.Team, use)
+		h.over = max(h.over, use.GPUs-team.GPUsMax)
 	}
 }
 
@@ -362,14 +407,16 @@
 func (h *History) Leave(task, machine string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s, is := h.on[task]
-	if !is || s.machine != machine {
+	id, index, _ := job.SplitTaskID(task)
+	p := h.jobs[id]
+	if p == nil {
 		return
 	}
-	delete(h.on, task)
-	id, index, _ := job.SplitTaskID(task)
+	if s, is := p.on[index]; !is || s.machine != machine {
+		return
+	}
+	delete(p.on, index)
 	h.note(id, "%d is gone from %s", index, machine)
-	p := h.jobs[id]
 	h.used[p.spec.Team] = h.used[p.spec.Team].Add(p.spec.Need, -1)
 	if p.told.IsZero() {
 		return
@@ -464,8 +511,8 @@
 			p.ready = time.Now()
 		}
 		n := p.spec.Tasks - len(p.complete)
-		for task := range h.on {
-			if of, k, _ := job.SplitTaskID(task); of == id && !p.complete[k] {
+		for index := range p.on {
+			if !p.complete[index] {
 				n--
 			}
 		}
