Stand-ins: the fleet's workers can be on the network of this machine

Need: many workers in one process, each with its own address, connection, session and lease, for runs at size with real controllers.

--- /dev/null
+++ b/fakes/unit.go
@@ -0,0 +1,255 @@
+package fakes
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net"
+	"slices"
+	"time"
+
+	"robinstack/cloud"
+	"robinstack/worker"
+)
+
+// Unit is a machine with its worker. The fleet's mutex guards it.
+type Unit struct {
+	lease
+	fleet   *Fleet
+	name    string
+	typ     cloud.MachineType
+	zone    string
+	pieces  map[string]*piece
+	images  map[string]bool // that it has
+	since   time.Time       // when it was rented
+	link    transport
+	ctx     context.Context
+	stop    context.CancelFunc
+	changed chan struct{}
+
+	address  string
+	listener net.Listener // of its address, on a loopback network
+
+	Hung        bool            // it does nothing, and may go on within its lease
+	Deaf        bool            // its reports arrive; answers and direct commands to it are lost
+	Lost        bool            // direct commands to it are lost; answers to its reports arrive
+	Mute        bool            // its reports reach nobody; direct commands to it are carried out
+	Hold        time.Duration   // direct commands and their answers are held up for so long
+	HoldAnswers time.Duration   // answers to its reports are held up for so long
+	Cut         string          // the only controller that does not reach it directly
+	Only        string          // the only controller that it reaches, and that reaches it
+	died        time.Time       // it stopped with all that was on it
+	Carried     int             // direct commands that were carried out
+	late        []worker.Report // reports that came, for copies
+	kept        *worker.Report  // one that is kept for later
+}
+
+// Kill has a machine stop, with all that is on it. It is listed as running for a while.
+func (u *Unit) Kill() {
+	u.clear()
+	u.stop()
+	u.died = time.Now()
+}
+
+// Zone is the machine's.
+func (u *Unit) Zone() string { return u.zone }
+
+// age is how old a machine is said to be, in seconds.
+func (f *Fleet) age(u *Unit) float64 {
+	if f.loopback == nil {
+		return 60
+	}
+	return time.Since(u.since).Seconds()
+}
+
+// bootTime is how long a machine takes to come up.
+func (u *Unit) bootTime() time.Duration {
+	f := u.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.spread {
+		return u.typ.Boot()
+	}
+	return time.Duration(float64(u.typ.Boot()) * (0.6 + 0.9*f.rng.Float64()))
+}
+
+func (u *Unit) tell() {
+	select {
+	case u.changed <- struct{}{}:
+	default:
+	}
+}
+
+// run is the worker.
+func (u *Unit) run() {
+	f := u.fleet
+	if !sleep(u.ctx, u.bootTime()) {
+		if u.listener != nil {
+			u.listener.Close()
+		}
+		return
+	}
+	if u.listener != nil {
+		go u.serve()
+	}
+	defer u.link.close()
+	f.mu.Lock()
+	u.answered = time.Now()
+	hosts := f.settings.Hosts()
+	at := f.rng.IntN(len(hosts))
+	f.mu.Unlock()
+	go u.watch()
+	for u.ctx.Err() == nil {
+		home := u.report(hosts[at])
+		f.mu.Lock()
+		pause := time.Duration(float64(f.settings.Workers.Report) * (0.75 + f.rng.Float64()/2))
+		f.mu.Unlock()
+		next := slices.Index(hosts, home)
+		switch {
+		case home == "stay":
+		case next >= 0 && next != at:
+			at, pause = next, 50*time.Millisecond
+		default:
+			at, pause = (at+1)%len(hosts), time.Second
+		}
+		least := time.Now().Add(min(pause, 500*time.Millisecond))
+		timer := time.NewTimer(pause)
+		select {
+		case <-u.ctx.Done():
+		case <-timer.C:
+		case <-u.changed:
+			sleep(u.ctx, time.Until(least))
+		}
+		timer.Stop()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// answerWait is how long a worker waits for the answer to its report.
+const answerWait = 4 * time.Second
+
+// report sends one report and returns where to go next: "stay", a host, or nothing.
+func (u *Unit) report(host string) string {
+	f := u.fleet
+	f.mu.Lock()
+	if u.Hung {
+		f.mu.Unlock()
+		return "stay"
+	}
+	sent, r := time.Now(), u.next()
+	if u.late = append(u.late, r); len(u.late) > 20 {
+		u.late = u.late[1:]
+	}
+	mute := u.Mute || u.Only != "" && u.Only != host
+	f.mu.Unlock()
+	if mute {
+		sleep(u.ctx, answerWait)
+		return ""
+	}
+	code, body := u.send(host, &r)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if hold := u.HoldAnswers; hold > 0 {
+		f.mu.Unlock()
+		sleep(u.ctx, hold)
+		f.mu.Lock()
+	}
+	if u.Deaf || u.Hung || time.Since(sent) > answerWait {
+		return ""
+	}
+	home, answer := u.take(r.Session, sent, code, body)
+	if answer != nil {
+		u.carryOut(answer.Token, answer.Orders)
+	}
+	return home
+}
+
+func (u *Unit) send(host string, r *worker.Report) (code int, body []byte) {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return 0, nil
+	}
+	type answer struct {
+		code int
+		body []byte
+	}
+	done := make(chan answer, 1)
+	go func() {
+		code, b, err := u.link.report(host, raw)
+		if err != nil {
+			code, b = 0, nil
+		}
+		done <- answer{code, b}
+	}()
+	timer := time.NewTimer(answerWait)
+	defer timer.Stop()
+	select {
+	case a := <-done:
+		return a.code, a.body
+	case <-timer.C:
+	case <-u.ctx.Done():
+	}
+	return 0, nil
+}
+
+// Again sends a copy of an earlier report, the oldest that is kept, to a controller. Its
+// answer reaches nobody.
+func (u *Unit) Again(host string) {
+	if len(u.late) > 0 {
+		r := u.late[0]
+		go u.send(host, &r)
+	}
+}
+
+// Keep keeps the latest report for later, if there was one.
+func (u *Unit) Keep() {
+	if len(u.late) > 0 {
+		r := u.late[len(u.late)-1]
+		u.kept = &r
+	}
+}
+
+// SendKept sends the report that was kept to a controller, and returns what it was
+// answered with, which reaches nobody; 0: nothing, or none was kept. It is not to be called
+// from Each.
+func (u *Unit) SendKept(host string) (code int) {
+	u.fleet.mu.Lock()
+	r := u.kept
+	u.fleet.mu.Unlock()
+	if r == nil {
+		return 0
+	}
+	code, _ = u.send(host, r)
+	return code
+}
+
+// Session is the worker's.
+func (u *Unit) Session() uint64 { return u.session }
+
+// Kept reports whether one of its reports is kept.
+func (u *Unit) Kept() bool { return u.kept != nil }
+
+// Lists reports whether the kept report lists a task that has not ended.
+func (u *Unit) Lists(task string) bool {
+	return u.kept != nil && slices.ContainsFunc(u.kept.Tasks, func(t worker.Task) bool { return t.ID == task && t.State != worker.Ended })
+}
+
+// next is the worker's next report. The fleet's mutex is held.
+func (u *Unit) next() worker.Report {
+	u.seq++
+	r := worker.Report{Machine: u.name, Address: u.address, Type: u.typ.Name, Zone: u.zone, Session: u.session, Seq: u.seq, Token: u.token, Tasks: []worker.Task{}}
+	for _, key := range slices.Sorted(maps.Keys(u.pieces)) {
+		r.Tasks = append(r.Tasks, u.pieces[key].task)
+	}
+	return r
+}
