--- a/dev/dev.go
+++ b/dev/dev.go
@@ -124,7 +124,7 @@
 			ln.Close()
 		}
 	}
-	for k, handler := range []http.Handler{f.State, f.Farm} {
+	for k, handler := range []http.Handler{f.State, fakes.NewCloudServer(f.Farm, 0, 0)} {
 		ln, err := net.Listen("tcp4", f.opts.address(k))
 		if err != nil {
 			return fmt.Errorf("a port for the %s: %w", [...]string{"state service", "cloud"}[k], err)
--- a/fakes/farm.go
+++ b/fakes/farm.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
-	"net/http"
 	"os/exec"
 	"slices"
 	"strings"
@@ -95,70 +93,46 @@
 	return f.done[task]
 }
 
-// ServeHTTP answers as the cloud does.
-func (f *Farm) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	switch r.Method + " " + r.URL.Path {
-	case "GET /machine_types":
-		answer(w, http.StatusOK, map[string]any{"host_kinds": f.types})
-	case "GET /hosts":
-		answer(w, http.StatusOK, map[string]any{"hosts": f.list(r.URL.Query().Get("since")), "truncated": false})
-	case "POST /hosts":
-		var in cloud.Rental
-		if json.NewDecoder(r.Body).Decode(&in) != nil {
-			answer(w, http.StatusBadRequest, nil)
-			return
-		}
-		if names := f.rent(in); len(names) > 0 {
-			answer(w, http.StatusOK, map[string]any{"hosts": names})
-			return
-		}
-		answer(w, http.StatusServiceUnavailable, map[string]string{"error": "no capacity"})
-	case "POST /hosts/delete":
-		var in struct {
-			Names []string `json:"hosts"`
-		}
-		if json.NewDecoder(r.Body).Decode(&in) != nil {
-			answer(w, http.StatusBadRequest, nil)
-			return
-		}
-		for _, name := range in.Names {
-			f.mu.Lock()
-			b := f.boxes[name]
-			delete(f.boxes, name)
-			f.mu.Unlock()
-			if b != nil {
-				b.stop()
-				b.clear()
-			}
+// MachineTypes lists the types on offer.
+func (f *Farm) MachineTypes(context.Context) ([]cloud.MachineType, error) { return f.types, nil }
+
+// Delete returns machines, with all that is on them.
+func (f *Farm) Delete(_ context.Context, names []string) error {
+	for _, name := range names {
+		f.mu.Lock()
+		b := f.boxes[name]
+		delete(f.boxes, name)
+		f.mu.Unlock()
+		if b != nil {
+			b.stop()
+			b.clear()
 		}
-		answer(w, http.StatusOK, struct{}{})
-	default:
-		answer(w, http.StatusBadRequest, nil)
 	}
+	return nil
 }
 
-func (f *Farm) list(since string) []cloud.Machine {
+// Machines lists the machines in the order of their names.
+func (f *Farm) Machines(context.Context) ([]cloud.Machine, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := []cloud.Machine{}
 	for name, b := range f.boxes {
-		if name > since {
-			out = append(out, cloud.Machine{Name: name, Address: b.address, Type: b.typ.Name, Zone: b.zone, Spot: b.spot, Status: "running", AgeS: time.Since(b.since).Seconds()})
-		}
+		out = append(out, cloud.Machine{Name: name, Address: b.address, Type: b.typ.Name, Zone: b.zone, Spot: b.spot, Status: "running", AgeS: time.Since(b.since).Seconds()})
 	}
 	slices.SortFunc(out, func(a, b cloud.Machine) int { return strings.Compare(a.Name, b.Name) })
-	return out
+	return out, nil
 }
 
-func (f *Farm) rent(r cloud.Rental) []string {
+// Rent rents machines, as many of those asked for as there is capacity for.
+func (f *Farm) Rent(_ context.Context, r cloud.Rental) ([]string, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if names, again := f.requests[r.Request]; again {
-		return names
+		return names, nil
 	}
 	at := slices.IndexFunc(f.types, func(t cloud.MachineType) bool { return t.Name == r.Type })
 	if at < 0 {
-		return nil
+		return nil, cloud.ErrNoCapacity
 	}
 	there := 0
 	for _, b := range f.boxes {
@@ -180,10 +154,11 @@
 		names = append(names, b.name)
 		go b.run(ln)
 	}
-	if len(names) > 0 {
-		f.requests[r.Request] = names
+	if len(names) == 0 {
+		return nil, cloud.ErrNoCapacity
 	}
-	return names
+	f.requests[r.Request] = names
+	return names, nil
 }
 
 // began books that a task is on a machine. The farm's mutex guards the history.
--- a/fakes/state.go
+++ b/fakes/state.go
@@ -9,6 +9,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"robinstack/statekv"
@@ -26,6 +27,8 @@
 	events  []statekv.Event
 	changed chan struct{}
 
+	compacted uint64 // changes up to this revision are not kept
+
 	// Down makes every request fail as refused; LoseAnswers carries
 	// transactions out but loses their answers.
 	Down, LoseAnswers bool
@@ -35,6 +38,8 @@
 	ops     int           // changes of a transaction, 0: any number
 	over    []string      // what broke these limits
 	changes int
+
+	rates atomic.Pointer[Rates] // nil: none
 }
 
 // Changes counts the puts and deletes that were made.
@@ -116,7 +121,15 @@
 	return s.Down
 }
 
+// keptEvents is how many changes are kept at least for those who follow.
+const keptEvents = 10_000
+
 func (s *State) record(e statekv.Event) {
+	if len(s.events) >= 2*keptEvents {
+		drop := len(s.events) - keptEvents
+		s.compacted = s.events[drop-1].Rev
+		s.events = append([]statekv.Event(nil), s.events[drop:]...)
+	}
 	s.events = append(s.events, e)
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -252,6 +265,10 @@
 	for {
 		s.mu.Lock()
 		n := statekv.News{Rev: s.rev}
+		if since < s.compacted {
+			s.mu.Unlock()
+			return n, statekv.ErrCompacted
+		}
 		from := sort.Search(len(s.events), func(k int) bool { return s.events[k].Rev > since })
 		for _, e := range s.events[from:] {
 			if strings.HasPrefix(e.Key(), prefix) {
--- a/fakes/stateserver.go
+++ b/fakes/stateserver.go
@@ -7,14 +7,77 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"robinstack/statekv"
+
+	"golang.org/x/time/rate"
 )
 
+// Rates are limits of the state service, in effect for what comes over HTTP, and what was
+// counted under them.
+type Rates struct {
+	requests, changes *rate.Limiter
+
+	Requests, Changes atomic.Uint64 // that came
+	Refused           atomic.Uint64 // requests beyond a limit
+	Renewals, Watches atomic.Uint64 // of the requests
+}
+
+// NewRates returns limits of so many requests and changes a second, with bursts of one
+// second's worth.
+func NewRates(requests, changes float64) *Rates {
+	return &Rates{requests: rate.NewLimiter(rate.Limit(requests), max(1, int(requests))), changes: rate.NewLimiter(rate.Limit(changes), max(1, int(changes)))}
+}
+
+// admits counts a request with so many changes, and reports whether it is within the limits.
+func (r *Rates) admits(changes int) bool {
+	r.Requests.Add(1)
+	r.Changes.Add(uint64(changes))
+	now := time.Now()
+	if !r.requests.AllowN(now, 1) || !r.changes.AllowN(now, changes) {
+		r.Refused.Add(1)
+		return false
+	}
+	return true
+}
+
+// SetRates limits what comes over HTTP from now on; nil: not at all.
+func (s *State) SetRates(r *Rates) { s.rates.Store(r) }
+
+// Size is how many keys there are, and the bytes of their names and values.
+func (s *State) Size() (keys, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, kv := range s.keys {
+		bytes += len(key) + len(kv.Value)
+	}
+	return len(s.keys), bytes
+}
+
+// admits holds a request other than a transaction against the limits.
+func (s *State) admits(r *http.Request) bool {
+	rates := s.rates.Load()
+	if rates == nil || r.URL.Path == "/txn" {
+		return true
+	}
+	switch {
+	case r.URL.Path == "/follow":
+		rates.Watches.Add(1)
+	case strings.HasSuffix(r.URL.Path, "/extend"):
+		rates.Renewals.Add(1)
+	}
+	return rates.admits(0)
+}
+
 // ServeHTTP answers as the state service does, by its published protocol.
 func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.expire(time.Now())
+	if !s.admits(r) {
+		answer(w, http.StatusTooManyRequests, nil)
+		return
+	}
 	switch {
 	case r.Method == http.MethodGet && r.URL.Path == "/keys":
 		q := r.URL.Query()
@@ -32,11 +95,14 @@
 	case r.Method == http.MethodGet && r.URL.Path == "/follow":
 		q := r.URL.Query()
 		news, err := s.Follow(r.Context(), q.Get("prefix"), uint64(number(q.Get("since"), 0)), time.Duration(number(q.Get("block_ms"), 0))*time.Millisecond)
-		if err != nil {
+		switch {
+		case errors.Is(err, statekv.ErrCompacted):
+			answer(w, http.StatusGone, nil)
+		case err != nil:
 			answer(w, http.StatusServiceUnavailable, nil)
-			return
+		default:
+			answer(w, http.StatusOK, news)
 		}
-		answer(w, http.StatusOK, news)
 	case strings.HasPrefix(r.URL.Path, "/grants"):
 		s.serveLeases(w, r)
 	default:
@@ -94,6 +160,10 @@
 		answer(w, http.StatusBadRequest, nil)
 		return
 	}
+	if rates := s.rates.Load(); rates != nil && !rates.admits(len(txn.Then)) {
+		answer(w, http.StatusTooManyRequests, nil)
+		return
+	}
 	var then []statekv.Op
 	for _, op := range txn.Then {
 		if op.Lease != 0 && !s.lives(op.Lease) {
