--- a/dev/dev.go
+++ b/dev/dev.go
@@ -6,16 +6,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
-	"sync"
 	"time"
 
 	"robinstack/cloud"
@@ -38,28 +32,15 @@
 
 // Fleet is a running service.
 type Fleet struct {
+	*Controllers
 	State *fakes.State
 	Farm  *fakes.Farm
 
 	opts    Options
-	dir     string
-	logs    string
 	servers []io.Closer // and their listeners
 	stop    chan struct{}
-
-	mu   sync.Mutex
-	runs []*process
-}
-
-// process is a controller.
-type process struct {
-	cmd  *exec.Cmd
-	over chan struct{}
-	err  error
 }
 
-var hosts = []string{"host-0", "host-1", "host-2", "host-3", "host-4", "host-5", "host-6", "host-7"}
-
 // pools are the kinds of machines that the cloud tells apart: ordinary and spot ones, in
 // each zone.
 var pools = 2 * len(zones)
@@ -67,10 +48,12 @@
 // most is how many controllers there may be.
 const most = 8
 
+var zones = []string{"north", "south"}
+
 func (o *Options) address(k int) string { return fmt.Sprintf("127.0.0.1:%d", o.Port+k) }
 
 // Listen is where a controller answers users.
-func (f *Fleet) Listen(k int) string { return f.opts.address(2 + 2*k) }
+func (f *Fleet) Listen(k int) string { return f.setup.Nodes[k].Listen }
 
 // Listens lists where the controllers answer users.
 func (f *Fleet) Listens() []string {
@@ -82,9 +65,7 @@
 }
 
 // Logs is the directory with the controllers' logs.
-func (f *Fleet) Logs() string { return f.logs }
-
-var zones = []string{"north", "south"}
+func (f *Fleet) Logs() string { return f.setup.Logs }
 
 // Start starts everything and returns once the controllers run. An error leaves
 // nothing running.
@@ -92,37 +73,30 @@
 	if o.Controllers < 1 || o.Controllers > most || len(o.Programs) > o.Controllers {
 		return nil, fmt.Errorf("%d controllers: 1 to %d are possible", o.Controllers, most)
 	}
-	dir, err := os.MkdirTemp("", "robinstack-dev-")
-	if err != nil {
-		return nil, fmt.Errorf("making a directory for settings: %w", err)
-	}
-	f := &Fleet{State: fakes.NewState(), opts: o, dir: dir, logs: o.Logs, stop: make(chan struct{}), runs: make([]*process, o.Controllers)}
-	if f.logs == "" {
-		f.logs = dir
-	}
-	controllers := map[string]string{}
+	setup := Setup{State: o.address(0), Cloud: o.address(1), Facts: facts(o.Controllers), Policy: o.Policy, Program: o.Program, Logs: o.Logs}
+	addresses := map[string]string{}
 	for k := range o.Controllers {
-		controllers[hosts[k]] = f.Listen(k)
+		n := Node{Host: fmt.Sprintf("host-%d", k), Zone: zones[k%len(zones)], Listen: o.address(2 + 2*k), PeerListen: o.address(3 + 2*k)}
+		setup.Nodes = append(setup.Nodes, n)
+		addresses[n.Host] = n.Listen
 	}
-	types := []cloud.MachineType{{Name: "box", CPUs: 16, GPUs: o.GPUs, MemoryGB: 128, CacheGB: 100, FetchGBPerS: 10, Price: 10, SpotPrice: 4, BootS: 0.5, Zones: zones}}
-	f.Farm = fakes.NewFarm(ctx, fakes.FarmConfig{Types: types, Most: max(1, o.Machines/pools), Controllers: controllers, Report: time.Second, Lease: 8 * time.Second, Spec: f.spec})
-	err = f.start(controllers)
+	controllers, err := NewControllers(setup)
 	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Controllers: controllers, State: fakes.NewState(), opts: o, stop: make(chan struct{})}
+	types := []cloud.MachineType{{Name: "box", CPUs: 16, GPUs: o.GPUs, MemoryGB: 128, CacheGB: 100, FetchGBPerS: 10, Price: 10, SpotPrice: 4, BootS: 0.5, Zones: zones}}
+	f.Farm = fakes.NewFarm(ctx, fakes.FarmConfig{Types: types, Most: max(1, o.Machines/pools), Controllers: addresses, Report: time.Second, Lease: 8 * time.Second, Spec: f.spec})
+	if err := f.start(); err != nil {
 		f.Stop()
 		return nil, err
 	}
 	return f, nil
 }
 
-func (f *Fleet) start(controllers map[string]string) error {
-	for k := range f.opts.Controllers { // before anything is started: whose port is taken says so at once
-		for _, p := range []int{2 + 2*k, 3 + 2*k} {
-			ln, err := net.Listen("tcp4", f.opts.address(p))
-			if err != nil {
-				return fmt.Errorf("a port for %s: %w", hosts[k], err)
-			}
-			ln.Close()
-		}
+func (f *Fleet) start() error {
+	if err := f.CheckPorts(); err != nil {
+		return err
 	}
 	for k, handler := range []http.Handler{f.State, fakes.NewCloudServer(f.Farm, 0, 0)} {
 		ln, err := net.Listen("tcp4", f.opts.address(k))
@@ -136,11 +110,6 @@
 		go func() { _ = server.Serve(ln) }()
 	}
 	go f.State.Watch(f.stop)
-	for k := range controllers {
-		if err := f.settings(k); err != nil {
-			return err
-		}
-	}
 	for k := range f.opts.Controllers {
 		program := f.opts.Program
 		if k < len(f.opts.Programs) && f.opts.Programs[k] != "" {
@@ -175,29 +144,10 @@
 // limitsToCome are those that the settings announce for the state service.
 var limitsToCome = map[string]int{"write_rps": 55, "value_kb": 2, "txn_ops": 8}
 
-func (f *Fleet) file(host string) string { return filepath.Join(f.dir, host+".json") }
-
-// settings writes the file that the platform hands to a controller.
-func (f *Fleet) settings(host string) error {
-	type node struct {
-		Host    string `json:"host_name"`
-		Area    string `json:"area"`
-		Address string `json:"address"`
-	}
-	var peers []node
-	var own map[string]any
-	for k := range f.opts.Controllers {
-		area := zones[k%len(zones)]
-		if hosts[k] == host {
-			own = map[string]any{"host_name": host, "area": area, "listen": f.Listen(k), "peer_bind": f.opts.address(3 + 2*k)}
-		} else {
-			peers = append(peers, node{hosts[k], area, f.opts.address(3 + 2*k)})
-		}
-	}
-	own["peers"] = peers
-	own["external"] = map[string]string{"state": f.opts.address(0), "cloud": f.opts.address(1)}
-	own["facts"] = map[string]any{
-		"size": f.opts.Controllers, "zones": zones,
+// facts are what the settings say of this deployment.
+func facts(controllers int) any {
+	return map[string]any{
+		"size": controllers, "zones": zones,
 		"teams":      []map[string]any{{"name": "crew", "cpus": 0, "cpus_max": 0, "gpus": 0, "gpus_max": 0}},
 		"objectives": []map[string]any{{"kind": "wait", "class": "try", "within_s": 10, "share": 0.9}},
 		"workers":    map[string]float64{"report_s": 1, "lease_s": 8, "gang_wait_s": 20, "gang_peer_s": 3, "cancel_s": 20},
@@ -205,107 +155,13 @@
 		"cloud":      map[string]float64{"rps": 20, "list_lag_s": 1}, "clock_off_ms": 10,
 		"quota": map[string]float64{"cores": 1, "memory_mb": 512, "max_connections": 2000},
 	}
-	raw, err := json.MarshalIndent(own, "", "  ")
-	if err != nil {
-		return fmt.Errorf("settings of %s: %w", host, err)
-	}
-	if err := os.WriteFile(f.file(host), raw, 0o600); err != nil {
-		return fmt.Errorf("settings of %s: %w", host, err)
-	}
-	return nil
-}
-
-// Launch starts a controller, which must not be running, with a program.
-func (f *Fleet) Launch(k int, program string) error {
-	args := []string{"--config", f.file(hosts[k])}
-	if f.opts.Policy != "" && program == f.opts.Program {
-		args = append(args, "--policy", f.opts.Policy)
-	}
-	log, err := os.OpenFile(filepath.Join(f.logs, hosts[k]+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return fmt.Errorf("a log for %s: %w", hosts[k], err)
-	}
-	defer log.Close()
-	cmd := exec.Command(program, args...)
-	cmd.Stderr, cmd.Stdout = log, log
-	cmd.SysProcAttr = own()
-	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("starting %s: %w", hosts[k], err)
-	}
-	p := &process{cmd: cmd, over: make(chan struct{})}
-	go func() {
-		p.err = cmd.Wait()
-		close(p.over)
-	}()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.runs[k] = p
-	return nil
-}
-
-// Kill ends a controller without a word, and returns once it has ended.
-func (f *Fleet) Kill(k int) {
-	f.mu.Lock()
-	p := f.runs[k]
-	f.mu.Unlock()
-	if p == nil {
-		return
-	}
-	_ = p.cmd.Process.Kill()
-	<-p.over
-}
-
-// Ended reports a controller that ended by itself, with its name.
-func (f *Fleet) Ended() error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for k, p := range f.runs {
-		if p == nil {
-			continue
-		}
-		select {
-		case <-p.over:
-			return fmt.Errorf("%s has ended (%w); its log is %s", hosts[k], errors.Join(p.err, errors.New("by itself")), filepath.Join(f.logs, hosts[k]+".log"))
-		default:
-		}
-	}
-	return nil
-}
-
-// Ready waits until a controller takes jobs, or one has ended.
-func (f *Fleet) Ready(ctx context.Context) error {
-	client := http.Client{Timeout: time.Second}
-	for ctx.Err() == nil {
-		if err := f.Ended(); err != nil {
-			return err
-		}
-		for _, address := range f.Listens() {
-			resp, err := client.Get("http://" + address + "/ready")
-			if err != nil {
-				continue
-			}
-			_, _ = io.Copy(io.Discard, resp.Body)
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(100 * time.Millisecond):
-		}
-	}
-	return fmt.Errorf("waiting for a controller: %w", ctx.Err())
 }
 
 // Stop ends everything. With logs in the temporary directory they go too.
 func (f *Fleet) Stop() {
-	for k := range f.runs {
-		f.Kill(k)
-	}
+	f.Controllers.Stop()
 	for _, s := range f.servers {
 		s.Close()
 	}
 	close(f.stop)
-	os.RemoveAll(f.dir)
 }
--- a/dev/own_linux.go
+++ b/dev/own_linux.go
@@ -2,8 +2,8 @@
 
 import "syscall"
 
-// own keeps a process apart from the terminal's interrupt, which ends the fleet in its
+// ChildAttributes keeps a process apart from the terminal's interrupt, which ends the fleet in its
 // own order, and has it end with this program, however that ends.
-func own() *syscall.SysProcAttr {
+func ChildAttributes() *syscall.SysProcAttr {
 	return &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 }
--- a/dev/own_other.go
+++ b/dev/own_other.go
@@ -4,6 +4,6 @@
 
 import "syscall"
 
-// own keeps a process apart from the terminal's interrupt, which ends the fleet in its
+// ChildAttributes keeps a process apart from the terminal's interrupt, which ends the fleet in its
 // own order.
-func own() *syscall.SysProcAttr { return &syscall.SysProcAttr{Setpgid: true} }
+func ChildAttributes() *syscall.SysProcAttr { return &syscall.SysProcAttr{Setpgid: true} }
