Peers: calls and bytes to other controllers are counted and shown in the status

Change: each network counts the calls by method and the bytes of the connections that it made; the status page has them as calls_from_here.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -251,7 +251,11 @@
 	duties.Go(func() { mover.Run(ctx) })
 	duties.Go(func() { sweeper.Run(ctx) })
 	duties.Go(func() { pipes.Run(ctx, c.gateway.ReadEnded) })
-	c.gateway.SetLife(&gateway.Life{Member: member, Mirror: mirror, Agent: ag, Placer: pl, Steward: st, Feed: feed, Gate: gate, Levels: rollout.NewReader(mirror), Pipes: pipes, Call: network, Clock: clock})
+	life := &gateway.Life{Member: member, Mirror: mirror, Agent: ag, Placer: pl, Steward: st, Feed: feed, Gate: gate, Levels: rollout.NewReader(mirror), Pipes: pipes, Call: network, Clock: clock}
+	if counts, ok := network.(interface{ Traffic() peer.Traffic }); ok {
+		life.Traffic = counts.Traffic
+	}
+	c.gateway.SetLife(life)
 	err = <-lost
 	c.gateway.SetLife(nil)
 	cancel()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"robinstack/config"
 	"robinstack/ended"
 	"robinstack/job"
+	"robinstack/peer"
 	"robinstack/pipeline"
 	"robinstack/placer"
 	"robinstack/rollout"
@@ -42,6 +43,7 @@
 	Pipes   *pipeline.Tracker
 	Call    agent.Caller
 	Clock   *serving.Clock
+	Traffic func() peer.Traffic // with other controllers; nil: nobody counts it
 }
 
 // tellOwners lets owners of machines know of a cancellation, of a revision or 0, that a user
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -12,6 +12,7 @@
 
 	"robinstack/agent"
 	"robinstack/job"
+	"robinstack/peer"
 	"robinstack/placer"
 	"robinstack/rollout"
 	"robinstack/steward"
@@ -35,6 +36,8 @@
 
 	Rollout rollout.Status `json:"rollout"`
 
+	Peers peer.Traffic `json:"calls_from_here"` // to controllers
+
 	Fleet      []PoolStatus     `json:"fleet"`
 	Machines   []MachineStatus  `json:"machines,omitempty"`
 	Waiting    []placer.Waiting `json:"waiting"`
@@ -197,6 +200,9 @@
 			slog.Debug("asking for late boots", "err", err)
 		}
 	}
+	if l.Traffic != nil {
+		s.Peers = l.Traffic()
+	}
 	s.Latency, s.Refused = g.latencies.show(), g.refused.Load()
 	count, longest := g.pauses()
 	s.Pauses, s.PauseS = count, longest.Seconds()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -22,6 +22,7 @@
 	addresses map[string]string
 	local     *rpc.Client
 	links     map[string]*link
+	traffic   traffic
 }
 
 // link is one connection to a peer; calls that find it broken dial anew.
@@ -52,7 +53,7 @@
 	}
 }
 
-func (l *link) get(address string, mine Greeting) (*rpc.Client, Greeting, error) {
+func (l *link) get(address string, mine Greeting, t *traffic) (*rpc.Client, Greeting, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.client != nil {
@@ -68,7 +69,7 @@
 		l.failed = time.Now()
 		return nil, Greeting{}, err
 	}
-	client := rpc.NewClient(conn)
+	client := rpc.NewClient(t.count(conn))
 	theirs, err := greet(client, mine)
 	if err != nil {
 		client.Close()
@@ -93,6 +94,7 @@
 // ErrNoAnswer leaves open whether the call was carried out; one that wraps
 // ErrUnknownCall says that this peer's version does not know it.
 func (n *Network) Call(ctx context.Context, host, method string, args, reply any) error {
+	n.traffic.called(method)
 	client := n.local
 	var l *link
 	if host != n.self {
@@ -102,7 +104,7 @@
 		}
 		var err error
 		var theirs Greeting
-		if client, theirs, err = l.get(n.addresses[host], n.mine); err != nil {
+		if client, theirs, err = l.get(n.addresses[host], n.mine, &n.traffic); err != nil {
 			return fmt.Errorf("reaching %s: %w", host, err)
 		}
 		if !theirs.knows(method) {
