Scale: controllers as processes at the size that a profile states, measured

Change: robinstack scale runs a checked TOML profile: 1 to 16 controllers, state service and cloud with the protocol's limits, one process of hollow workers and open-loop users, faults, and the checker that exists.

--- a/dev/processes.go
+++ b/dev/processes.go
@@ -82,7 +82,8 @@
 	return nil
 }
 
-func (c *Controllers) file(k int) string {
+// SettingsFile is the file that the platform hands to a controller.
+func (c *Controllers) SettingsFile(k int) string {
 	return filepath.Join(c.dir, c.setup.Nodes[k].Host+".json")
 }
 
@@ -105,7 +106,7 @@
 		"external": map[string]string{"state": c.setup.State, "cloud": c.setup.Cloud}, "facts": c.setup.Facts,
 	}, "", "  ")
 	if err == nil {
-		err = os.WriteFile(c.file(k), raw, 0o600)
+		err = os.WriteFile(c.SettingsFile(k), raw, 0o600)
 	}
 	if err != nil {
 		return fmt.Errorf("settings of %s: %w", own.Host, err)
@@ -116,7 +117,7 @@
 // Launch starts a controller, which must not be running, with a program.
 func (c *Controllers) Launch(k int, program string) error {
 	host := c.setup.Nodes[k].Host
-	args := []string{"--config", c.file(k)}
+	args := []string{"--config", c.SettingsFile(k)}
 	if c.setup.Policy != "" && program == c.setup.Program {
 		args = append(args, "--policy", c.setup.Policy)
 	}
--- a/fakes/fleet.go
+++ b/fakes/fleet.go
@@ -164,7 +164,7 @@
 	var names []string
 	for range min(r.Count, f.most-len(f.units)) {
 		f.count++
-		u, err := f.newUnit(f.types[at], r.Zone)
+		u, err := f.newUnit(f.types[at], r.Zone, f.bootTime(f.types[at]))
 		if err != nil {
 			return names, err
 		}
@@ -180,8 +180,8 @@
 }
 
 // newUnit makes a machine that does not run yet. The fleet's mutex is held.
-func (f *Fleet) newUnit(t cloud.MachineType, zone string) (*Unit, error) {
-	u := &Unit{fleet: f, name: fmt.Sprintf("vm-%06d", f.count), typ: t, zone: zone, lease: lease{session: 1}, pieces: map[string]*piece{}, images: map[string]bool{}, since: time.Now(), changed: make(chan struct{}, 1)}
+func (f *Fleet) newUnit(t cloud.MachineType, zone string, boot time.Duration) (*Unit, error) {
+	u := &Unit{fleet: f, name: fmt.Sprintf("vm-%06d", f.count), typ: t, zone: zone, lease: lease{session: 1}, pieces: map[string]*piece{}, images: map[string]bool{}, boot: boot, since: time.Now(), changed: make(chan struct{}, 1)}
 	u.ctx, u.stop = context.WithCancel(f.ctx)
 	u.address, u.link = u.name, handlerTransport{f.ask}
 	if f.loopback == nil {
@@ -191,6 +191,34 @@
 	return u, u.listen()
 }
 
+// Begin puts so many machines into a zone that are up within some time, rented by nobody.
+func (f *Fleet) Begin(typeName, zone string, count int, within time.Duration) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := slices.IndexFunc(f.types, func(t cloud.MachineType) bool { return t.Name == typeName })
+	if at < 0 {
+		return fmt.Errorf("there is no machine type %q", typeName)
+	}
+	for range count {
+		f.count++
+		u, err := f.newUnit(f.types[at], zone, time.Duration(f.rng.Float64()*float64(within)))
+		if err != nil {
+			return err
+		}
+		f.units[u.name] = u
+		go u.run()
+	}
+	return nil
+}
+
+// bootTime is how long a machine takes to come up. The fleet's mutex is held.
+func (f *Fleet) bootTime(t cloud.MachineType) time.Duration {
+	if !f.spread {
+		return t.Boot()
+	}
+	return time.Duration(float64(t.Boot()) * (0.6 + 0.9*f.rng.Float64()))
+}
+
 func (f *Fleet) isGang(id string) bool {
 	spec, _ := f.history.Spec(id)
 	return spec.Shape == job.Gang
--- /dev/null
+++ b/fakes/loopback_test.go
@@ -0,0 +1,86 @@
+package fakes
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"robinstack/cloud"
+	"robinstack/config"
+	"robinstack/job"
+	"robinstack/worker"
+)
+
+// A worker on the loopback network reports over a connection of its own, carries out direct
+// commands under its token and session only, and ends its tasks with its lease, which these
+// do not renew.
+func TestWorkerOnLoopback(t *testing.T) {
+	var mu sync.Mutex
+	var latest worker.Report
+	controller := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		_ = json.NewDecoder(r.Body).Decode(&latest)
+		answer(w, http.StatusServiceUnavailable, nil) // its lease is not renewed
+	}))
+	defer controller.Close()
+	settings := &config.Settings{Host: "host-0", Workers: config.Workers{Report: 200 * time.Millisecond, Lease: 1500 * time.Millisecond, CancelGone: 10 * time.Second}}
+	history := NewHistory(settings)
+	types := []cloud.MachineType{{Name: "box", CPUs: 4, GPUs: 1, MemoryGB: 8, Price: 1, Zones: []string{"a"}}}
+	f := NewFleet(t.Context(), settings, types, 1, 1, history, nil)
+	l := &Loopback{Addresses: map[string]string{"host-0": strings.TrimPrefix(controller.URL, "http://")}}
+	f.Connect(l)
+	f.SetTiming(Timing{Fetch: 10 * time.Millisecond})
+	history.Offers(job.Spec{ID: "wk-1", Team: "t", Shape: job.Array, Tasks: 1})
+	f.Runs("wk-1", time.Hour, 0)
+	if err := f.Begin("box", "a", 1, 0); err != nil {
+		t.Fatal(err)
+	}
+	eventually := func(what string, ok func() bool) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("not seen: " + what)
+			}
+		}
+	}
+	address := ""
+	eventually("a report", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		address = latest.Address
+		return address != ""
+	})
+	do := func(token, session uint64) int {
+		t.Helper()
+		body, _ := json.Marshal(map[string]any{"baton": token, "tenure": session, "orders": []worker.Order{worker.Start("wk-1/0", 1)}})
+		resp, err := http.Post("http://"+address+"/do", "application/json", bytes.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode
+	}
+	if code := do(7, 2); code != http.StatusConflict {
+		t.Errorf("a command for another session: %d", code)
+	}
+	if code := do(7, 1); code != http.StatusOK {
+		t.Errorf("a command: %d", code)
+	}
+	if code := do(6, 1); code != http.StatusConflict {
+		t.Errorf("a command under a lower token: %d", code)
+	}
+	eventually("the task on its machine", func() bool { return history.On("wk-1") == 1 })
+	eventually("the end of its lease", func() bool { return f.KilledByLease() == 1 && history.On("wk-1") == 0 })
+	if reports := l.Traffic.Reports.Load(); reports < 2 || l.Traffic.Received.Load() == 0 || l.Traffic.Commands.Load() != 3 {
+		t.Error(fmt.Sprint("traffic: ", reports, l.Traffic.Received.Load(), l.Traffic.Commands.Load()))
+	}
+}
--- a/fakes/unit.go
+++ b/fakes/unit.go
@@ -22,6 +22,7 @@
 	pieces  map[string]*piece
 	images  map[string]bool // that it has
 	since   time.Time       // when it was rented
+	boot    time.Duration   // until it is up
 	link    transport
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -62,17 +63,6 @@
 	return time.Since(u.since).Seconds()
 }
 
-// bootTime is how long a machine takes to come up.
-func (u *Unit) bootTime() time.Duration {
-	f := u.fleet
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.spread {
-		return u.typ.Boot()
-	}
-	return time.Duration(float64(u.typ.Boot()) * (0.6 + 0.9*f.rng.Float64()))
-}
-
 func (u *Unit) tell() {
 	select {
 	case u.changed <- struct{}{}:
@@ -83,7 +73,7 @@
 // run is the worker.
 func (u *Unit) run() {
 	f := u.fleet
-	if !sleep(u.ctx, u.bootTime()) {
+	if !sleep(u.ctx, u.boot) {
 		if u.listener != nil {
 			u.listener.Close()
 		}
@@ -253,3 +243,6 @@
 	}
 	return r
 }
+
+// Heard reports whether the worker is up. The fleet is to be held still.
+func (u *Unit) Heard() bool { return !u.answered.IsZero() && u.died.IsZero() }
--- /dev/null
+++ b/scale/sweep.go
@@ -0,0 +1,89 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math"
+)
+
+// Point is one size of a sweep with what was measured there.
+type Point struct {
+	Machines    int     `json:"machines"`
+	Controllers int     `json:"controllers"`
+	Result      *Result `json:"result"`
+}
+
+// SweepResult is all that a sweep measured.
+type SweepResult struct {
+	Profile string  `json:"profile"`
+	Planned Size    `json:"planned"` // the size of the profile itself
+	Limits  Limits  `json:"limits"`
+	Points  []Point `json:"points"`
+}
+
+// Size is a number of machines and of controllers.
+type Size struct {
+	Machines    int `json:"machines"`
+	Controllers int `json:"controllers"`
+}
+
+// Limits are what a controller may use, and the state service takes.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  float64 `json:"sockets"`
+	RPS      float64 `json:"state_rps"`
+	WriteRPS float64 `json:"state_write_rps"`
+}
+
+// At is the profile scaled to other numbers of machines and controllers: as many jobs for
+// each machine, and no faults.
+func (p *Profile) At(size Size) *Profile {
+	scaled := *p
+	factor := float64(size.Machines) / float64(p.Machines())
+	times := func(n int) int { return int(math.Round(float64(n) * factor)) }
+	scaled.Name = fmt.Sprintf("%s at %d machines and %d controllers", p.Name, size.Machines, size.Controllers)
+	scaled.Controllers.Count = size.Controllers
+	scaled.Faults = nil
+	scaled.Types, scaled.Jobs = nil, nil
+	if p.Sweep.Duration > 0 {
+		scaled.Duration, scaled.Warmup = p.Sweep.Duration, p.Sweep.Warmup
+	}
+	for _, t := range p.Types {
+		t.Count = times(t.Count)
+		scaled.Types = append(scaled.Types, t)
+	}
+	for _, c := range p.Jobs {
+		c.PerSecond *= factor
+		c.Burst = 0
+		scaled.Jobs = append(scaled.Jobs, c)
+	}
+	return &scaled
+}
+
+// DoSweep runs all sizes of a profile's sweep, one after the other, and tells each result
+// as soon as it is there.
+func DoSweep(ctx context.Context, p *Profile, o Options, tell func(*SweepResult) error) error {
+	if len(p.Sweep.Workers) == 0 || len(p.Sweep.Controllers) == 0 {
+		return fmt.Errorf("%w: sweep: lists no sizes", ErrProfile)
+	}
+	out := &SweepResult{Profile: p.Name, Planned: Size{p.Machines(), p.Controllers.Count},
+		Limits: Limits{Cores: p.Controllers.Cores, MemoryMB: p.Controllers.MemoryMB, Sockets: float64(p.Controllers.Sockets), RPS: p.State.RPS, WriteRPS: p.State.WriteRPS}}
+	for _, machines := range p.Sweep.Workers {
+		for _, controllers := range p.Sweep.Controllers {
+			scaled := p.At(Size{machines, controllers})
+			result, err := Do(ctx, scaled, o)
+			if err != nil {
+				return fmt.Errorf("%s: %w", scaled.Name, err)
+			}
+			if o.Out != nil {
+				result.Print(o.Out)
+			}
+			out.Points = append(out.Points, Point{scaled.Machines(), controllers, result})
+			if err := tell(out); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
