Agent: a machine that has come up serves from its first answered report on

Cause: a machine whose claim took longer than its worker waits for an answer was owned, and got tasks by direct commands, before any report of it had been answered.

Change: eligible is a machine that was taken over, or of which this owner has answered a report.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -304,6 +304,7 @@
 		}
 	}
 	m.answered(now)
+	m.leased = true
 	if m.pressing(now) {
 		m.wake()
 	}
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -91,6 +91,7 @@
 	blamed    map[string]bool      // those that run well elsewhere
 	doneAt    time.Time            // when a task completed here last
 	noticeAt  time.Time            // when the cloud takes it; zero: no notice
+	leased    bool                 // a report was answered, by this owner or one before
 	heard     time.Time
 	toldAt    time.Time // when its latest report came here, or its ownership began
 	answerEnd time.Time // last moment at which anyone may have answered its worker
--- a/agent/owner.go
+++ b/agent/owner.go
@@ -548,7 +548,7 @@
 	}
 	m := &machine{name: name, address: key.Address, typeName: key.Type, zone: key.Zone, spot: key.Spot, keyRev: keyRev, rev: rev,
 		tasks: map[taskKey]*task{}, images: map[string]time.Time{}, failures: map[string]time.Time{}, blamed: map[string]bool{},
-		heard: now, toldAt: now, answerEnd: now, kick: make(chan struct{}, 1), quit: make(chan struct{})}
+		leased: takenOver, heard: now, toldAt: now, answerEnd: now, kick: make(chan struct{}, 1), quit: make(chan struct{})}
 	if a.Known != nil {
 		known := a.Known(name)
 		for _, image := range known.Images {
--- a/agent/sample.go
+++ b/agent/sample.go
@@ -21,6 +21,10 @@
 		return "machine is being emptied"
 	case !m.serves():
 		return "machine is silent"
+	case !m.leased:
+		// The lease of one that has come up counts from its beginning, and commands do not
+		// renew it: what is started in its last moments is killed with it.
+		return "machine's lease has not been renewed"
 	case m.inDoubt(now):
 		return "machine may be faulty"
 	case m.unfenced():
