Agent: nothing is stopped for gangs while many machines wait for their registration

Cause: when a large fleet begins, gangs cleared the few machines that were registered, and what was stopped was placed there again and stopped again: 1,818 stops in 94 s with 3 controllers, 7,890 with 16, where 10 tasks were done.

Change: an owner where more than two machines and a twentieth of its own wait for their registration does not stop tasks: those machines will have room in seconds. TestNothingIsStoppedWhileMachinesWaitForRegistration fails without it.

--- a/agent/clear.go
+++ b/agent/clear.go
@@ -23,7 +23,7 @@
 // of work lost, and of fetching the image where the machine does not have it.
 func (a *Agent) victims(m *machine, r *Request, now time.Time) (stop []*task, cost float64, ok bool) {
 	t, known := a.types()[m.typeName]
-	if _, has := m.images[r.Spec.Image]; !known || r.Near && !has || !a.hurries(r, t) || a.unfit(m, r, now) != "" {
+	if _, has := m.images[r.Spec.Image]; !known || r.Near && !has || !a.hurries(r, t) || a.registering() || a.unfit(m, r, now) != "" {
 		return nil, 0, false
 	}
 	free, known := m.room(job.Capacity(t))
@@ -76,6 +76,19 @@
 	return stop, cost, r.Spec.Fits(free)
 }
 
+// registering reports whether many of the machines that report here wait to be written into a
+// shard, as when a fleet begins: those will have room, and what is stopped for gangs on the
+// few that are registered would be placed there again and stopped again. The mutex is held.
+func (a *Agent) registering() bool {
+	return len(a.claiming) > max(fewClaims, len(a.machines)/registeringPart)
+}
+
+// So many claims wait at any time in a large fleet, and so large a part of the machines.
+const (
+	fewClaims       = 2
+	registeringPart = 20
+)
+
 // hurries reports whether a job that waits for room needs it made now to start
 // by the users' aim: with time left, gangs that end make room for nothing.
 func (a *Agent) hurries(r *Request, t cloud.MachineType) bool { return r.Left <= r.clearing(t) }
--- a/agent/register_test.go
+++ b/agent/register_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"robinstack/agent"
 	"robinstack/fakes"
+	"robinstack/job"
+	"robinstack/statekv"
 )
 
 // A machine whose claim took longer than its worker waits is owned, and no report of it was
@@ -38,3 +42,56 @@
 		}
 	})
 }
+
+// closing is a state service with room for changes that can wait, or not.
+type closing struct {
+	*fakes.State
+	closed atomic.Bool
+}
+
+func (c *closing) Room(statekv.Kind, int) bool { return !c.closed.Load() }
+
+// While many machines wait for their registration nothing is stopped for gangs: there will be
+// room, and what is stopped is placed again on the few machines that are registered. At 3,000
+// machines and 16 controllers 7,890 tasks were stopped in 94 s, and 10 done.
+func TestNothingIsStoppedWhileMachinesWaitForRegistration(t *testing.T) {
+	story(t, func(t *testing.T, ctx context.Context, state *fakes.State, workers *fakes.Workers) {
+		store := &closing{State: state}
+		n := startWith(t, ctx, settings(), "host-0", store, workers)
+		epoch := slot(t, n, "s", 0)
+		w := workers.Add("m1", "box", "a")
+		n.report(workers, w)
+		time.Sleep(time.Second)
+		for k := range 2 {
+			if got := n.commit(t, "m1", "s", epoch, k, uint64(k+1)); got != agent.Started {
+				t.Fatalf("verdict %q", got)
+			}
+		}
+		gang := agent.Request{Slot: "s", Epoch: epoch, Tasks: 1, Least: 9, Spare: 5}
+		gang.Spec = job.Spec{ID: "wk-9", Shape: job.Gang, Rank: "high", Tasks: 1, Need: job.Need{CPUs: 8, GPUs: 2, MemoryGB: 9}}
+		clearable := func() int {
+			n.report(workers, w)
+			var found agent.Sample
+			if err := n.service.Clearable(gang, &found); err != nil {
+				t.Fatal(err)
+			}
+			return len(found.Candidates)
+		}
+		if clearable() != 1 {
+			t.Fatal("m1 can't be cleared: this shows nothing")
+		}
+		store.closed.Store(true)
+		for k := range 8 {
+			go n.report(workers, workers.Add(fmt.Sprintf("new%d", k), "box", "a"))
+		}
+		time.Sleep(time.Second)
+		if got := clearable(); got != 0 {
+			t.Errorf("%d machines may be cleared while eight wait", got)
+		}
+		store.closed.Store(false)
+		time.Sleep(2 * time.Second)
+		if clearable() == 0 {
+			t.Error("m1 may not be cleared when they are registered")
+		}
+	})
+}
