Budget: a new session has its whole part as soon as nothing of it is lent

Change: the allocator, which knows what it has lent of whose part, says when nothing is, and the fixed time is what is left for sessions that do not reach it. Bursts come to the one second's worth that the service takes.

--- a/budget/bucket.go
+++ b/budget/bucket.go
@@ -48,13 +48,13 @@
 		return time.Duration(short / b.rate * float64(time.Second))
 	}
 	if b.base <= 0 {
-		return never
+		return forEver
 	}
 	return time.Duration((lent + (short-lent*b.rate)/b.base) * float64(time.Second))
 }
 
-// never is longer than anything may wait.
-const never = time.Hour
+// forEver is longer than anything may wait.
+const forEver = time.Hour
 
 // Take takes n and returns how long to wait before they are used. It takes nothing and is
 // not ok if that would be longer than longest.
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -24,7 +24,8 @@
 	// LoanTime is for how long, from the sending of the report that it answers, a loan may
 	// be used.
 	LoanTime = 600 * time.Millisecond
-	// JoinTime is how long a new session uses a part of its own part only: until the
+	// JoinTime is how long a new session uses a part of its own part only, unless the
+	// allocator tells it earlier that this is over: until the
 	// loans that were made while it was over have ended, and the promises of the session
 	// before. It is longer than ViewAge, LoanTime and a margin together, and than
 	// PromiseTime.
@@ -57,6 +58,7 @@
 	Epoch uint64
 	Now   time.Duration // by the allocator's clock
 	Loan  float64       // changes a second beyond its own part or promise, for LoanTime from the report's sending
+	Whole bool          // nothing of its own part is lent but what it has promised itself: its session need not wait for JoinTime
 }
 
 // Sessions is what the allocator knows of the controllers' sessions.
@@ -79,7 +81,8 @@
 	heard         time.Duration
 	need          float64
 	promisedUntil time.Duration
-	loans         []loan // that it may be using: it may not have the answer to its latest report
+	lentUntil     time.Duration // up to when a part of its own is lent because its session was over
+	loans         []loan        // that it may be using: it may not have the answer to its latest report
 }
 
 type loan struct {
@@ -114,6 +117,7 @@
 		a.known[r.Host] = b
 	}
 	b.heard, b.need = now, r.Need
+	g.Whole = now >= LoanTime+margin && now >= b.promisedUntil && now >= b.lentUntil
 	if r.Promises && r.Epoch == a.epoch {
 		b.promisedUntil = max(b.promisedUntil, r.Echo+PromiseTime)
 	}
@@ -133,25 +137,24 @@
 func (a *Allocator) lend(host string, sessions Sessions, now time.Duration) float64 {
 	until := now + LoanTime + margin
 	pool, lent := 0.0, 0.0
-	allHeard := true
-	for _, h := range a.hosts {
-		if sessions.Alive[h] && !a.heardLately(h, now) {
-			allHeard = false
-		}
-	}
 	wants := map[string]float64{}
+	over := a.sessionsOver(sessions, now)
 	for _, h := range a.hosts {
 		b := a.known[h]
-		switch {
-		case b != nil && sessions.Alive[h] && b.promisedUntil >= until:
-			pool += (1 - promised) * a.part
-		case !sessions.Alive[h] && sessions.Age <= ViewAge && allHeard:
-			// A version that does not know of loans would use it by itself.
+		if over[h] {
 			pool += (1 - joining) * a.part
+			if b == nil {
+				b = &borrower{heard: never}
+				a.known[h] = b
+			}
+			b.lentUntil = until
 		}
 		if b == nil {
 			continue
 		}
+		if !over[h] && b.promisedUntil >= until {
+			pool += (1 - promised) * a.part
+		}
 		if h != host {
 			lent += b.borrowed(now)
 		}
@@ -162,6 +165,29 @@
 	return max(0, min(fairShare(pool, wants, host), pool-lent))
 }
 
+// never is when a controller was heard that never was.
+const never = -time.Hour
+
+// sessionsOver lists the controllers whose parts may be lent because their sessions are over:
+// by a view that is young, and none while one that lives is not heard. A version that does
+// not know of loans would use them by itself.
+func (a *Allocator) sessionsOver(sessions Sessions, now time.Duration) map[string]bool {
+	over := map[string]bool{}
+	if sessions.Age > ViewAge {
+		return over
+	}
+	for _, h := range a.hosts {
+		switch {
+		case a.heardLately(h, now):
+		case sessions.Alive[h]:
+			return map[string]bool{}
+		default:
+			over[h] = true
+		}
+	}
+	return over
+}
+
 // own is what a controller may use without a loan.
 func (a *Allocator) own(b *borrower, now time.Duration) float64 {
 	if b.promisedUntil > now {
@@ -197,6 +223,7 @@
 type Part struct {
 	part  float64
 	alone bool      // there is nobody to share with
+	whole bool      // the allocator has said that its own part is not lent
 	began time.Time // of the session; zero: it has none
 
 	promisedUntil time.Time
@@ -215,7 +242,11 @@
 func (p *Part) Own() float64 { return p.part }
 
 // Begin notes that a session has begun. The zero time: it is over, or not certainly held.
-func (p *Part) Begin(at time.Time) { p.began = at }
+func (p *Part) Begin(at time.Time) {
+	if at != p.began {
+		p.began, p.whole = at, false
+	}
+}
 
 // Rate is how many changes a second may be made now, until a time, and without the loan that
 // ends then.
@@ -223,7 +254,7 @@
 	base = p.part
 	switch {
 	case p.alone:
-	case p.began.IsZero() || now.Sub(p.began) < JoinTime:
+	case p.began.IsZero() || !p.whole && now.Sub(p.began) < JoinTime:
 		base = joining * p.part
 	case now.Before(p.promisedUntil):
 		base = promised * p.part
@@ -247,4 +278,5 @@
 func (p *Part) Granted(g Grant, sent time.Time) {
 	p.epoch, p.echo = g.Epoch, g.Now
 	p.loan, p.loanUntil = g.Loan, sent.Add(LoanTime)
+	p.whole = p.whole || g.Whole
 }
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -332,6 +332,41 @@
 	}
 }
 
+// A session begins anew while the allocator's view still shows it as over, by a second or by
+// more, and does not reach the allocator: what was lent of its part is given back first.
+func TestNewSessionThatIsCutOffWaitsForLoansOfItsPart(t *testing.T) {
+	for _, age := range []time.Duration{0, 900 * time.Millisecond, 4 * time.Second} {
+		w := newWorld(t, 3, 4)
+		for _, m := range w.members {
+			m.want = 100
+		}
+		w.run(3 * time.Second)
+		w.members[2].alive, w.members[2].ended = false, w.now
+		w.run(5 * time.Second)
+		w.age = age
+		w.start(w.members[2])
+		w.members[2].cut = true
+		w.run(6 * time.Second)
+		w.end()
+	}
+}
+
+// A process begins anew at once after one that had promised to use little: what was lent of
+// that is given back first.
+func TestNewSessionKeepsThePromiseOfTheOneBefore(t *testing.T) {
+	w := newWorld(t, 3, 5)
+	w.members[0].want = 100
+	w.run(4 * time.Second)
+	for range 5 {
+		w.start(w.members[2])
+		w.members[2].want = 100
+		w.run(1500 * time.Millisecond)
+		w.members[2].want = 0
+		w.run(3 * time.Second)
+	}
+	w.end()
+}
+
 // Loans of the allocator before may still be in use when a new one begins.
 func TestNewAllocatorLendsNothingAtFirst(t *testing.T) {
 	a := NewAllocator(2, limit, []string{"host-0", "host-1"})
--- a/statekv/writebudget.go
+++ b/statekv/writebudget.go
@@ -43,11 +43,16 @@
 // of a job and a change of the level need as much.
 const leastSoon = 6
 
+// burstShare is how many seconds' worth of its part a controller may make at once: together
+// they are within the one second's worth of the whole limit that the service takes at once,
+// of which the parts are nine tenths.
+const burstShare = 1.1
+
 func newWriteBudget(changes float64, controllers int) *WriteBudget {
 	part := budget.NewPart(changes, controllers)
 	now := time.Now()
 	rate, _, _ := part.Rate(now)
-	return &WriteBudget{part: part, bucket: budget.NewBucket(rate, max(leastBurst, part.Own()), now)}
+	return &WriteBudget{part: part, bucket: budget.NewBucket(rate, max(leastBurst, burstShare*part.Own()), now)}
 }
 
 // Session has the budget count a session as begun while it is certainly held. Without one,
@@ -111,7 +116,7 @@
 // longest is how long n changes may wait. Those that are more than accumulate have to wait for
 // longer than others, or they would never be made.
 func (w *WriteBudget) longest(n int) time.Duration {
-	if float64(n) > max(leastBurst, w.part.Own()) {
+	if float64(n) > max(leastBurst, burstShare*w.part.Own()) {
 		return longestLarge
 	}
 	return longestQueue
