--- a/fakes/fleet.go
+++ b/fakes/fleet.go
@@ -28,7 +28,7 @@
 
 	mu       sync.Mutex
 	rng      *rand.Rand
-	units    map[string]*Unit
+	machines map[string]*Machine
 	requests map[string][]string
 	gangs    map[string]map[string]*piece // tasks on machines, by job and attempt
 	runs     map[string][2]time.Duration  // how long the tasks of a job run
@@ -78,7 +78,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	room := map[string]int{} // by zone
-	for _, u := range f.units {
+	for _, u := range f.machines {
 		if u.answered.IsZero() || u.Hung || u.Deaf || u.Lost || u.Mute || u.Hold > 0 || u.HoldAnswers > 0 || u.Cut != "" || u.Only != "" || !u.died.IsZero() || !spec.Allows(u.typ.Name, u.zone, false) {
 			continue
 		}
@@ -117,7 +117,7 @@
 // a worker's report to a controller.
 func NewFleet(ctx context.Context, settings *config.Settings, types []cloud.MachineType, most int, seed uint64, h *History, ask func(host string, r *http.Request) (*http.Response, error)) *Fleet {
 	return &Fleet{ctx: ctx, settings: settings, types: types, most: most, history: h, ask: ask, rng: rand.New(rand.NewPCG(seed, 2)),
-		units: map[string]*Unit{}, requests: map[string][]string{}, gangs: map[string]map[string]*piece{}, broken: map[string]bool{}, runs: map[string][2]time.Duration{}}
+		machines: map[string]*Machine{}, requests: map[string][]string{}, gangs: map[string]map[string]*piece{}, broken: map[string]bool{}, runs: map[string][2]time.Duration{}}
 }
 
 // Runs says how long the first task of a job runs, and by how much each of the others runs
@@ -129,11 +129,11 @@
 }
 
 // Each calls do for every machine with the fleet held still, in the order of their names.
-func (f *Fleet) Each(do func(name string, u *Unit)) {
+func (f *Fleet) Each(do func(name string, u *Machine)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, name := range slices.Sorted(maps.Keys(f.units)) {
-		do(name, f.units[name])
+	for _, name := range slices.Sorted(maps.Keys(f.machines)) {
+		do(name, f.machines[name])
 	}
 }
 
@@ -162,13 +162,13 @@
 		return nil, errors.New("malformed")
 	}
 	var names []string
-	for range min(r.Count, f.most-len(f.units)) {
+	for range min(r.Count, f.most-len(f.machines)) {
 		f.count++
-		u, err := f.newUnit(f.types[at], r.Zone, f.bootTime(f.types[at]))
+		u, err := f.newMachine(f.types[at], r.Zone, f.bootTime(f.types[at]))
 		if err != nil {
 			return names, err
 		}
-		f.units[u.name] = u
+		f.machines[u.name] = u
 		names = append(names, u.name)
 		go u.run()
 	}
@@ -179,9 +179,9 @@
 	return names, nil
 }
 
-// newUnit makes a machine that does not run yet. The fleet's mutex is held.
-func (f *Fleet) newUnit(t cloud.MachineType, zone string, boot time.Duration) (*Unit, error) {
-	u := &Unit{fleet: f, name: fmt.Sprintf("vm-%06d", f.count), typ: t, zone: zone, lease: lease{session: 1}, pieces: map[string]*piece{}, images: map[string]bool{}, boot: boot, since: time.Now(), changed: make(chan struct{}, 1)}
+// newMachine makes a machine that does not run yet. The fleet's mutex is held.
+func (f *Fleet) newMachine(t cloud.MachineType, zone string, boot time.Duration) (*Machine, error) {
+	u := &Machine{fleet: f, name: fmt.Sprintf("vm-%06d", f.count), typ: t, zone: zone, lease: lease{session: 1}, pieces: map[string]*piece{}, images: map[string]bool{}, boot: boot, since: time.Now(), changed: make(chan struct{}, 1)}
 	u.ctx, u.stop = context.WithCancel(f.ctx)
 	u.address, u.link = u.name, handlerTransport{f.ask}
 	if f.loopback == nil {
@@ -201,11 +201,11 @@
 	}
 	for range count {
 		f.count++
-		u, err := f.newUnit(f.types[at], zone, time.Duration(f.rng.Float64()*float64(within)))
+		u, err := f.newMachine(f.types[at], zone, time.Duration(f.rng.Float64()*float64(within)))
 		if err != nil {
 			return err
 		}
-		f.units[u.name] = u
+		f.machines[u.name] = u
 		go u.run()
 	}
 	return nil
@@ -228,7 +228,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, name := range names {
-		if u := f.units[name]; u != nil {
+		if u := f.machines[name]; u != nil {
 			for _, p := range u.pieces {
 				if p.counted && !f.broken[p.group] {
 					f.deleted++
@@ -246,7 +246,7 @@
 			}
 			u.clear()
 			u.stop()
-			delete(f.units, name)
+			delete(f.machines, name)
 		}
 	}
 	return nil
@@ -256,8 +256,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []cloud.Machine
-	for _, name := range slices.Sorted(maps.Keys(f.units)) {
-		u := f.units[name]
+	for _, name := range slices.Sorted(maps.Keys(f.machines)) {
+		u := f.machines[name]
 		status := "running"
 		if u.answered.IsZero() {
 			status = "booting"
@@ -283,7 +283,7 @@
 func (c Commander) Command(ctx context.Context, address string, token, session uint64, orders []worker.Order) (*worker.Report, bool, error) {
 	f := c.fleet
 	f.mu.Lock()
-	u := f.units[address]
+	u := f.machines[address]
 	if u == nil || u.Deaf || u.Lost || u.Cut == c.host || u.Only != "" && u.Only != c.host || u.answered.IsZero() || !u.died.IsZero() {
 		f.mu.Unlock()
 		sleep(ctx, patience)
--- a/fakes/loopback.go
+++ b/fakes/loopback.go
@@ -128,7 +128,7 @@
 
 // listen opens the address at which a worker takes commands, and serve takes them until the
 // machine ends.
-func (u *Unit) listen() error {
+func (u *Machine) listen() error {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return fmt.Errorf("an address for %s: %w", u.name, err)
@@ -137,7 +137,7 @@
 	return nil
 }
 
-func (u *Unit) serve() {
+func (u *Machine) serve() {
 	server := &fasthttp.Server{Handler: u.handle, ReadBufferSize: 4096, WriteBufferSize: 2048, NoDefaultServerHeader: true, CloseOnShutdown: true}
 	go func() { _ = server.Serve(u.listener) }()
 	<-u.ctx.Done()
@@ -152,7 +152,7 @@
 	Orders  []worker.Order `json:"orders"`
 }
 
-func (u *Unit) handle(ctx *fasthttp.RequestCtx) {
+func (u *Machine) handle(ctx *fasthttp.RequestCtx) {
 	var (
 		in       doRequest
 		report   worker.Report
--- a/fakes/unit.go
+++ b/fakes/machine.go
@@ -12,8 +12,8 @@
 	"robinstack/worker"
 )
 
-// Unit is a machine with its worker. The fleet's mutex guards it.
-type Unit struct {
+// Machine is a machine with its worker. The fleet's mutex guards it.
+type Machine struct {
 	lease
 	fleet   *Fleet
 	name    string
@@ -46,24 +46,24 @@
 }
 
 // Kill has a machine stop, with all that is on it. It is listed as running for a while.
-func (u *Unit) Kill() {
+func (u *Machine) Kill() {
 	u.clear()
 	u.stop()
 	u.died = time.Now()
 }
 
 // Zone is the machine's.
-func (u *Unit) Zone() string { return u.zone }
+func (u *Machine) Zone() string { return u.zone }
 
 // age is how old a machine is said to be, in seconds.
-func (f *Fleet) age(u *Unit) float64 {
+func (f *Fleet) age(u *Machine) float64 {
 	if f.loopback == nil {
 		return 60
 	}
 	return time.Since(u.since).Seconds()
 }
 
-func (u *Unit) tell() {
+func (u *Machine) tell() {
 	select {
 	case u.changed <- struct{}{}:
 	default:
@@ -71,7 +71,7 @@
 }
 
 // run is the worker.
-func (u *Unit) run() {
+func (u *Machine) run() {
 	f := u.fleet
 	if !sleep(u.ctx, u.boot) {
 		if u.listener != nil {
@@ -129,7 +129,7 @@
 const answerWait = 4 * time.Second
 
 // report sends one report and returns where to go next: "stay", a host, or nothing.
-func (u *Unit) report(host string) string {
+func (u *Machine) report(host string) string {
 	f := u.fleet
 	f.mu.Lock()
 	if u.Hung {
@@ -164,7 +164,7 @@
 	return home
 }
 
-func (u *Unit) send(host string, r *worker.Report) (code int, body []byte) {
+func (u *Machine) send(host string, r *worker.Report) (code int, body []byte) {
 	raw, err := json.Marshal(r)
 	if err != nil {
 		return 0, nil
@@ -194,7 +194,7 @@
 
 // Again sends a copy of an earlier report, the oldest that is kept, to a controller. Its
 // answer reaches nobody.
-func (u *Unit) Again(host string) {
+func (u *Machine) Again(host string) {
 	if len(u.late) > 0 {
 		r := u.late[0]
 		go u.send(host, &r)
@@ -202,7 +202,7 @@
 }
 
 // Keep keeps the latest report for later, if there was one.
-func (u *Unit) Keep() {
+func (u *Machine) Keep() {
 	if len(u.late) > 0 {
 		r := u.late[len(u.late)-1]
 		u.kept = &r
@@ -212,7 +212,7 @@
 // SendKept sends the report that was kept to a controller, and returns what it was
 // answered with, which reaches nobody; 0: nothing, or none was kept. It is not to be called
 // from Each.
-func (u *Unit) SendKept(host string) (code int) {
+func (u *Machine) SendKept(host string) (code int) {
 	u.fleet.mu.Lock()
 	r := u.kept
 	u.fleet.mu.Unlock()
@@ -224,18 +224,18 @@
 }
 
 // Session is the worker's.
-func (u *Unit) Session() uint64 { return u.session }
+func (u *Machine) Session() uint64 { return u.session }
 
 // Kept reports whether one of its reports is kept.
-func (u *Unit) Kept() bool { return u.kept != nil }
+func (u *Machine) Kept() bool { return u.kept != nil }
 
 // Lists reports whether the kept report lists a task that has not ended.
-func (u *Unit) Lists(task string) bool {
+func (u *Machine) Lists(task string) bool {
 	return u.kept != nil && slices.ContainsFunc(u.kept.Tasks, func(t worker.Task) bool { return t.ID == task && t.State != worker.Ended })
 }
 
 // next is the worker's next report. The fleet's mutex is held.
-func (u *Unit) next() worker.Report {
+func (u *Machine) next() worker.Report {
 	u.seq++
 	r := worker.Report{Machine: u.name, Address: u.address, Type: u.typ.Name, Zone: u.zone, Session: u.session, Seq: u.seq, Token: u.token, Tasks: []worker.Task{}}
 	for _, key := range slices.Sorted(maps.Keys(u.pieces)) {
@@ -245,4 +245,4 @@
 }
 
 // Heard reports whether the worker is up. The fleet is to be held still.
-func (u *Unit) Heard() bool { return !u.answered.IsZero() && u.died.IsZero() }
+func (u *Machine) Heard() bool { return !u.answered.IsZero() && u.died.IsZero() }
--- a/fakes/unittasks.go
+++ b/fakes/machinetasks.go
@@ -23,7 +23,7 @@
 
 // execute carries out commands that came straight to the worker, as soon as it does not hang,
 // and returns its report after them. It is not ok if the machine ended before.
-func (u *Unit) execute(token, session uint64, orders []worker.Order) (r worker.Report, executed, ok bool) {
+func (u *Machine) execute(token, session uint64, orders []worker.Order) (r worker.Report, executed, ok bool) {
 	for u.ctx.Err() == nil {
 		u.fleet.mu.Lock()
 		if !u.Hung {
@@ -41,7 +41,7 @@
 }
 
 // carryOut executes commands in order. The fleet's mutex is held.
-func (u *Unit) carryOut(token uint64, orders []worker.Order) {
+func (u *Machine) carryOut(token uint64, orders []worker.Order) {
 	if token > u.token {
 		u.token = token
 		u.tell()
@@ -60,7 +60,7 @@
 	}
 }
 
-func (u *Unit) start(key string, o worker.Order) {
+func (u *Machine) start(key string, o worker.Order) {
 	f := u.fleet
 	id, index, _ := job.SplitTaskID(o.Task)
 	p := &piece{task: worker.Task{ID: o.Task, Attempt: o.Attempt, State: worker.Fetching}, since: time.Now(), group: fmt.Sprint(id, " ", o.Attempt)}
@@ -94,7 +94,7 @@
 }
 
 // end ends a task.
-func (u *Unit) end(p *piece, cause string) {
+func (u *Machine) end(p *piece, cause string) {
 	if p.counted {
 		u.fleet.history.Leave(p.task.ID, u.name)
 		delete(u.fleet.gangs[p.group], p.task.ID)
@@ -104,7 +104,7 @@
 	u.tell()
 }
 
-func (u *Unit) kill(p *piece, o worker.Order) {
+func (u *Machine) kill(p *piece, o worker.Order) {
 	grace := time.Duration(0)
 	if o.GraceS != nil {
 		grace = config.Seconds(*o.GraceS)
@@ -122,13 +122,13 @@
 }
 
 // Plant puts a task on the machine that no controller had started.
-func (u *Unit) Plant(task string, attempt uint64) {
+func (u *Machine) Plant(task string, attempt uint64) {
 	u.pieces[fmt.Sprint(task, " ", attempt)] = &piece{task: worker.Task{ID: task, Attempt: attempt, State: worker.Running}, since: time.Now(), runs: time.Hour}
 	u.tell()
 }
 
 // Has reports whether a task is listed in the machine's reports.
-func (u *Unit) Has(task string) bool {
+func (u *Machine) Has(task string) bool {
 	for _, p := range u.pieces {
 		if p.task.ID == task {
 			return true
@@ -138,7 +138,7 @@
 }
 
 // Save has the tasks that can save do so from now on, for so long.
-func (u *Unit) Save(d time.Duration) {
+func (u *Machine) Save(d time.Duration) {
 	for _, p := range u.pieces {
 		if p.task.State == worker.Running && p.saves > 0 {
 			p.task.State, p.since, p.saves = worker.Saving, time.Now(), d
@@ -148,7 +148,7 @@
 }
 
 // clear ends and forgets all tasks, as when the machine goes or its lease ends.
-func (u *Unit) clear() {
+func (u *Machine) clear() {
 	for key, p := range u.pieces {
 		if p.task.State != worker.Ended {
 			u.end(p, worker.Stopped)
@@ -158,7 +158,7 @@
 }
 
 // unended counts the tasks that have not ended.
-func (u *Unit) unended() (n int) {
+func (u *Machine) unended() (n int) {
 	for _, p := range u.pieces {
 		if p.task.State != worker.Ended {
 			n++
@@ -168,7 +168,7 @@
 }
 
 // fetchTime is how long the fetch of an image takes.
-func (u *Unit) fetchTime(image string) time.Duration {
+func (u *Machine) fetchTime(image string) time.Duration {
 	switch {
 	case u.fleet.fetch == 0:
 		return time.Second
@@ -182,7 +182,7 @@
 const tickEvery = 250 * time.Millisecond
 
 // watch moves the tasks on, and ends the lease in time.
-func (u *Unit) watch() {
+func (u *Machine) watch() {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
@@ -213,7 +213,7 @@
 }
 
 // step moves one task on.
-func (u *Unit) step(p *piece) {
+func (u *Machine) step(p *piece) {
 	f, now := u.fleet, time.Now()
 	id, _, _ := job.SplitTaskID(p.task.ID)
 	spec, _ := f.history.Spec(id)
--- a/meetings/input_test.go
+++ b/meetings/input_test.go
@@ -14,13 +14,13 @@
 func TestTasksThatNobodySubmitted(t *testing.T) {
 	story(t, 31, func(w *world) {
 		w.running("host-0", "a", job.Array)
-		w.fleet.Each(func(_ string, u *fakes.Unit) {
+		w.fleet.Each(func(_ string, u *fakes.Machine) {
 			u.Plant("wk-777777/0", 3)
 			u.Plant("nobody's", 1)
 			u.Plant("wk-000001/99999999999999999999", 1)
 		})
 		left := func(task string) (n int) {
-			w.fleet.Each(func(_ string, u *fakes.Unit) {
+			w.fleet.Each(func(_ string, u *fakes.Machine) {
 				if u.Has(task) {
 					n++
 				}
--- a/meetings/outage_test.go
+++ b/meetings/outage_test.go
@@ -143,11 +143,11 @@
 			w.t.Fatal("not accepted")
 		}
 		w.until("it runs", 3*time.Minute, func() bool { return w.history.On(s.ID) == 10 })
-		w.fleet.Each(func(_ string, u *fakes.Unit) { u.Lost = true })
+		w.fleet.Each(func(_ string, u *fakes.Machine) { u.Lost = true })
 		w.port("host-0").NoRenewals(true)
 		time.Sleep(3 * time.Minute)
 		w.port("host-0").NoRenewals(false)
-		w.fleet.Each(func(_ string, u *fakes.Unit) { u.Lost = false })
+		w.fleet.Each(func(_ string, u *fakes.Machine) { u.Lost = false })
 		time.Sleep(15 * time.Minute)
 		w.history.End()
 		w.check()
--- a/meetings/roles_test.go
+++ b/meetings/roles_test.go
@@ -92,8 +92,8 @@
 }
 
 // unitOf calls do for the machine of that name, with the fleet held still.
-func (w *world) unitOf(machine string, do func(u *fakes.Unit)) {
-	w.fleet.Each(func(name string, u *fakes.Unit) {
+func (w *world) unitOf(machine string, do func(u *fakes.Machine)) {
+	w.fleet.Each(func(name string, u *fakes.Machine) {
 		if name == machine {
 			do(u)
 		}
--- a/meetings/small_test.go
+++ b/meetings/small_test.go
@@ -50,14 +50,14 @@
 			return func() { w.state.Set(false, false) }
 		},
 		"machines hang": func(w *world) func() {
-			hung := map[*fakes.Unit]bool{}
-			w.fleet.Each(func(_ string, u *fakes.Unit) {
+			hung := map[*fakes.Machine]bool{}
+			w.fleet.Each(func(_ string, u *fakes.Machine) {
 				if len(hung) < 5 {
 					u.Hung, hung[u] = true, true
 				}
 			})
 			return func() {
-				w.fleet.Each(func(_ string, u *fakes.Unit) {
+				w.fleet.Each(func(_ string, u *fakes.Machine) {
 					if hung[u] {
 						u.Hung = false
 					}
--- a/scale/load.go
+++ b/scale/load.go
@@ -203,7 +203,7 @@
 		l.most = max(l.most, running)
 		l.mu.Unlock()
 		p := Progress{Second: second, Running: running, Starts: starts - last, Open: l.users.open()}
-		l.fleet.Each(func(_ string, u *fakes.Unit) {
+		l.fleet.Each(func(_ string, u *fakes.Machine) {
 			if u.Session() > 0 && u.Heard() {
 				p.Up++
 			}
@@ -264,38 +264,38 @@
 // strike has a fault's machines fail: drawn ones, those rented one after the other from a
 // drawn one on, or all of a zone.
 func (l *load) strike(f Fault) {
-	var units []*fakes.Unit
-	l.fleet.Each(func(_ string, u *fakes.Unit) {
+	var machines []*fakes.Machine
+	l.fleet.Each(func(_ string, u *fakes.Machine) {
 		if u.Heard() && (f.Zone == "" || u.Zone() == f.Zone) {
-			units = append(units, u)
+			machines = append(machines, u)
 		}
 	})
 	switch f.Kind {
 	case RackFails:
-		units = units[rand.IntN(max(1, len(units)-f.Count+1)):]
+		machines = machines[rand.IntN(max(1, len(machines)-f.Count+1)):]
 	case WorkerFails, WorkerHangs:
-		rand.Shuffle(len(units), func(i, j int) { units[i], units[j] = units[j], units[i] })
+		rand.Shuffle(len(machines), func(i, j int) { machines[i], machines[j] = machines[j], machines[i] })
 	}
 	if f.Kind != ZoneFails {
-		units = units[:min(len(units), f.Count)]
+		machines = machines[:min(len(machines), f.Count)]
 	}
-	hit := map[*fakes.Unit]bool{}
-	for _, u := range units {
+	hit := map[*fakes.Machine]bool{}
+	for _, u := range machines {
 		hit[u] = true
 	}
-	change := func(do func(u *fakes.Unit)) {
-		l.fleet.Each(func(_ string, u *fakes.Unit) {
+	change := func(do func(u *fakes.Machine)) {
+		l.fleet.Each(func(_ string, u *fakes.Machine) {
 			if hit[u] {
 				do(u)
 			}
 		})
 	}
 	if f.Kind != WorkerHangs {
-		change(func(u *fakes.Unit) { u.Kill() })
+		change(func(u *fakes.Machine) { u.Kill() })
 		return
 	}
-	change(func(u *fakes.Unit) { u.Hung = true })
-	time.AfterFunc(seconds(f.For), func() { change(func(u *fakes.Unit) { u.Hung = false }) })
+	change(func(u *fakes.Machine) { u.Hung = true })
+	time.AfterFunc(seconds(f.For), func() { change(func(u *fakes.Machine) { u.Hung = false }) })
 }
 
 func seconds(s float64) time.Duration { return config.Seconds(s) }
