Many controllers: changes of others are seen within half a second, and a refused submission may go elsewhere

Cause: with 16 controllers the pause between two watches was 0.64 s, which each step of a beginning waits for: controllers were ready after 1.6 to 2.7 s (0.4 to 1.4 s with 3).

Change: the pause is 0.45 s at most, which changes nothing with fewer than twelve controllers at 200 requests a second; a submission that cannot be written now closes its connection.

--- a/config/config.go
+++ b/config/config.go
@@ -301,11 +301,16 @@
 
 // WatchPause is the least time between two watches of one controller. In a
 // large fleet something changes all the time, and every watch counts as a
-// request: all controllers' watches together take an eighth of what there is.
+// request: all controllers' watches together take an eighth of what there is, and more where
+// there are so many that each would see what others write only after longest.
 func (s *Settings) WatchPause() time.Duration {
-	return min(s.HoldTime()/8, Seconds(8*float64(max(1, s.Controllers))/s.State.RPS))
+	return min(s.HoldTime()/8, longestWatchPause, Seconds(8*float64(max(1, s.Controllers))/s.State.RPS))
 }
 
+// longestWatchPause bounds how late a controller sees what others write: taking a role,
+// registering a machine and accepting a job wait for that, some of them several times.
+const longestWatchPause = 450 * time.Millisecond
+
 // GoneAfter is the time after which a worker that nobody answers any more has
 // ended its tasks, clock drift and delivery of the last answer included.
 func (s *Settings) GoneAfter() time.Duration {
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -96,3 +96,18 @@
 		t.Error(err)
 	}
 }
+
+// Watches take an eighth of the requests, and each controller sees what others write within
+// half a second, however many there are.
+func TestWatchPause(t *testing.T) {
+	for _, c := range []struct {
+		controllers int
+		rps         float64
+		pause       time.Duration
+	}{{3, 200, 120 * time.Millisecond}, {5, 160, 250 * time.Millisecond}, {16, 200, longestWatchPause}} {
+		s := Settings{Controllers: c.controllers, State: State{RPS: c.rps}, Workers: Workers{Lease: 34 * time.Second, CancelGone: 64 * time.Second}}
+		if got := s.WatchPause(); got != c.pause {
+			t.Errorf("%d controllers at %v requests a second: %v", c.controllers, c.rps, got)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -160,6 +160,14 @@
 	return fail(c, fiber.StatusServiceUnavailable, reason)
 }
 
+// elsewhere is later for what another controller may take sooner: the connection is closed, so
+// that the load balancer chooses anew, and by the number of connections, where the user's next
+// try goes. Users that came while few controllers were ready stayed with those.
+func elsewhere(c *fiber.Ctx, reason string) error {
+	c.Context().SetConnectionClose()
+	return later(c, reason)
+}
+
 func (g *Gateway) report(c *fiber.Ctx) error {
 	var r worker.Report
 	if err := json.Unmarshal(c.Body(), &r); err != nil || r.Machine == "" || r.Address == "" {
@@ -469,7 +477,7 @@
 		return c.Status(fiber.StatusCreated).JSON(jobStatus{ID: spec.ID, Status: job.Queued})
 	}
 	if errors.Is(err, statekv.ErrRefused) {
-		return later(c, "the state service does not take it now")
+		return elsewhere(c, "the state service does not take it now")
 	}
 	// A conflict means that the job is known, or that this controller's role
 	// has ended; without an answer the job may have been written.
--- a/gateway/pipelines_test.go
+++ b/gateway/pipelines_test.go
@@ -38,10 +38,14 @@
 // learning is a state service whose client learns how many changes it takes.
 type learning struct {
 	*fakes.State
-	most int
+	most   int
+	refuse bool // every transaction
 }
 
 func (l *learning) Txn(ctx context.Context, when []statekv.Cond, then []statekv.Op) (uint64, error) {
+	if l.refuse {
+		return 0, statekv.ErrRefused
+	}
 	rev, err := l.State.Txn(ctx, when, then)
 	if errors.Is(err, statekv.ErrTooLarge) {
 		l.most = max(1, len(then)/2)
