--- /dev/null
+++ b/steward/calls.go
@@ -0,0 +1,113 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"time"
+
+	"robinstack/agent"
+	"robinstack/cloud"
+)
+
+// rent asks the cloud for machines; what has no answer is asked for again under its name.
+func (s *Steward) rent(ctx context.Context, r cloud.Rental) {
+	now := time.Now()
+	cctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	names, err := s.cloud.Rent(cctx, r)
+	cancel()
+	p := pool{r.Type, r.Zone, r.Spot}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := &s.fleet
+	switch {
+	case errors.Is(err, cloud.ErrNoCapacity):
+		f.refuse(p, now)
+	case err != nil:
+		slog.Info("rental unanswered", "request", r.Request, "err", err)
+		f.retry = append(f.retry, r)
+		return
+	case len(names) < r.Count:
+		f.refuse(p, now)
+	case f.limits[p] > 0:
+		f.limits[p] = min(4*f.limits[p], maxRentals*maxHire)
+	}
+	for _, name := range names {
+		f.booting[name] = boot{pool: p, since: now, ours: true}
+	}
+	slog.Info("rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "wanted", r.Count, "got", len(names), "machines", names)
+}
+
+// giveBack drains idle machines, which their owners refuse if a task has come
+// in between, and deletes those that are drained.
+func (s *Steward) giveBack(ctx context.Context, names []string) {
+	byHost := map[string][]string{}
+	for _, name := range names {
+		if host, ok := s.feed.Owner(name); ok {
+			byHost[host] = append(byHost[host], name)
+		}
+	}
+	for host, names := range byHost {
+		var reply agent.MachinesReply
+		cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		err := s.call.Call(cctx, host, "Agent.Drain", agent.MachinesRequest{Names: names, On: true}, &reply)
+		cancel()
+		if err != nil {
+			slog.Debug("draining machines", "host", host, "err", err)
+			continue
+		}
+		s.remove(ctx, reply.Names)
+	}
+}
+
+// remove deletes machines in the cloud and then tells their owners.
+func (s *Steward) remove(ctx context.Context, names []string) {
+	for chunk := range slices.Chunk(names, 100) {
+		cctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		err := s.cloud.Delete(cctx, chunk)
+		cancel()
+		if err != nil {
+			slog.Info("deleting machines", "names", chunk, "err", err)
+			return
+		}
+		slog.Info("returned", "machines", chunk)
+		s.mu.Lock()
+		for _, name := range chunk {
+			delete(s.fleet.booting, name)
+			s.fleet.deleted[name] = time.Now()
+		}
+		s.mu.Unlock()
+		s.tellOwners(ctx, chunk)
+	}
+}
+
+// tellOwners tells the owners of machines that the cloud has deleted them.
+func (s *Steward) tellOwners(ctx context.Context, names []string) {
+	byHost := map[string][]string{}
+	for _, name := range names {
+		if host, ok := s.feed.Owner(name); ok {
+			byHost[host] = append(byHost[host], name)
+		}
+	}
+	for host, names := range byHost {
+		cctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+		if err := s.call.Call(cctx, host, "Agent.Removed", agent.MachinesRequest{Names: names}, &agent.MachinesReply{}); err != nil {
+			slog.Debug("telling an owner of deleted machines", "host", host, "err", err)
+		}
+		cancel()
+	}
+}
+
+// runRetelling tells owners once more of machines that the cloud has deleted, beside the
+// planning: an owner that does not answer must not hold that up.
+func (s *Steward) runRetelling(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case names := <-s.retell:
+			s.tellOwners(ctx, names)
+		}
+	}
+}
--- a/steward/fleet.go
+++ b/steward/fleet.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -16,6 +15,7 @@
 	"robinstack/cloud"
 	"robinstack/job"
 	"robinstack/statekv"
+	"robinstack/worker"
 )
 
 // fleet is what the steward knows of rented machines.
@@ -227,19 +227,6 @@
 	}
 }
 
-// runRetelling tells owners once more of machines that the cloud has deleted, beside the
-// planning: an owner that does not answer must not hold that up.
-func (s *Steward) runRetelling(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case names := <-s.retell:
-			s.tellOwners(ctx, names)
-		}
-	}
-}
-
 // planFleet decides what to rent, what idle machines to return, and which
 // machines are lost and have to be deleted.
 func (s *Steward) planFleet(now time.Time) (rentals []cloud.Rental, returns, deletes []string) {
@@ -248,17 +235,42 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := &s.fleet
-	var bins []*bin
-	idle := map[string]time.Duration{}
-	present := map[string]bool{}
+	seen := s.takeStock(entries, types, now)
+	f.forgetDeleted(now)
+	s.settleLedger(seen.present, now)
+	deletes = seen.lost
+	bins := append(seen.bins, s.bootingBins(types, now, &deletes)...)
+	demands, turn := s.demands(types, now)
+	rentals = s.rentals(types, demands, bins, turn, now)
+	if now.Sub(f.toldAt) > 10*time.Second {
+		f.toldAt = now
+		s.tellFleet(bins, demands, len(entries), len(f.booting))
+	}
+	return rentals, append(seen.emptied, s.spare(bins, seen.idle, now)...), deletes
+}
+
+// stock is what the plan sees of the machines that have owners.
+type stock struct {
+	bins    []*bin // those that serve
+	idle    map[string]time.Duration
+	present map[string]bool
+	emptied []string // those to be returned that have no tasks any more
+	lost    []string // those that will not come back
+}
+
+// takeStock goes through all machines that have owners. The mutex is held.
+func (s *Steward) takeStock(entries []agent.Entry, types map[string]cloud.MachineType, now time.Time) *stock {
+	f := &s.fleet
+	out := &stock{idle: map[string]time.Duration{}, present: map[string]bool{}}
 	f.mute, f.untold = 0, nil
 	for i := range entries {
 		if entries[i].Silent && !entries[i].Settled {
 			f.mute++
 		}
 	}
-	for _, e := range entries {
-		present[e.Machine] = true
+	for i := range entries {
+		e := &entries[i]
+		out.present[e.Machine] = true
 		f.cameUp(e.Machine, now)
 		if !f.deleted[e.Machine].IsZero() {
 			if f.mayNotKnow(e.Machine, now) {
@@ -266,54 +278,80 @@
 			}
 			continue
 		}
-		if lost := s.isLost(&e, now); lost != "" {
+		if lost := s.isLost(e, now); lost != "" {
 			slog.Info("machine lost", "machine", e.Machine, "why", lost)
-			deletes = append(deletes, e.Machine)
-			continue
-		}
-		t, ok := types[e.Type]
-		if !ok || e.Silent || e.Notice {
-			continue
-		}
-		if e.Faulty || e.Draining {
-			if len(e.Tasks) == 0 {
-				returns = append(returns, e.Machine)
-			}
+			out.lost = append(out.lost, e.Machine)
 			continue
 		}
-		b := &bin{name: e.Machine, typeName: e.Type, zone: e.Zone, spot: e.Spot, free: job.Capacity(t), empty: len(e.Tasks) == 0}
-		for _, t := range e.Tasks {
-			if t.State != "ended" {
-				b.free = b.free.Add(t.Need, -1)
-			}
+		out.add(e, types, now)
+	}
+	return out
+}
+
+// add takes a machine that is neither deleted nor lost.
+func (k *stock) add(e *agent.Entry, types map[string]cloud.MachineType, now time.Time) {
+	t, ok := types[e.Type]
+	if !ok || e.Silent || e.Notice {
+		return
+	}
+	if e.Faulty || e.Draining {
+		if len(e.Tasks) == 0 {
+			k.emptied = append(k.emptied, e.Machine)
 		}
-		if d := e.IdleFor(now); d > 0 {
-			idle[e.Machine] = d
+		return
+	}
+	b := &bin{name: e.Machine, typeName: e.Type, zone: e.Zone, spot: e.Spot, free: job.Capacity(t), empty: len(e.Tasks) == 0}
+	for _, t := range e.Tasks {
+		if t.State != worker.Ended {
+			b.free = b.free.Add(t.Need, -1)
 		}
-		bins = append(bins, b)
 	}
+	if d := e.IdleFor(now); d > 0 {
+		k.idle[e.Machine] = d
+	}
+	k.bins = append(k.bins, b)
+}
+
+// deletedFor is how long the steward remembers that it has deleted a machine.
+const deletedFor = 10 * time.Minute
+
+// forgetDeleted forgets machines that were deleted long ago.
+func (f *fleet) forgetDeleted(now time.Time) {
 	for name, at := range f.deleted {
-		if now.Sub(at) > 10*time.Minute {
+		if now.Sub(at) > deletedFor {
 			delete(f.deleted, name)
 			delete(f.toldOwner, name)
 			delete(f.listed, name)
 			delete(f.silent, name)
 		}
 	}
+}
+
+// settleLedger drops machines that are gone from the ledger, and adds it up anew from time
+// to time. The mutex is held.
+func (s *Steward) settleLedger(present map[string]bool, now time.Time) {
 	for name := range s.ledger.held {
 		if !present[name] {
 			s.ledger.drop(name)
 		}
 	}
-	if now.Sub(f.resumAt) > 10*time.Second {
-		f.resumAt = now
+	if now.Sub(s.fleet.resumAt) > 10*time.Second {
+		s.fleet.resumAt = now
 		s.ledger.resum()
 	}
-	bins = append(bins, s.bootingBins(types, now, &deletes)...)
-	var demands []Demand
+}
+
+// demandAge is how long what a controller said of its jobs counts.
+const demandAge = 15 * time.Second
+
+// demands lists what waits, within the teams' limits and with the room that is kept ready,
+// and what running tasks will leave. The mutex is held.
+func (s *Steward) demands(types map[string]cloud.MachineType, now time.Time) ([]Demand, turnover) {
+	f := &s.fleet
+	var out []Demand
 	turn := newTurnover(types)
 	for host, d := range s.demand {
-		if now.Sub(d.at) > 15*time.Second {
+		if now.Sub(d.at) > demandAge {
 			delete(s.demand, host)
 			continue
 		}
@@ -323,14 +361,20 @@
 			}
 			turn.add(&j)
 			if j.Waiting > 0 {
-				demands = append(demands, j)
+				out = append(out, j)
 			}
 		}
 	}
-	demands = s.withinLimits(demands)
+	out = s.withinLimits(out)
 	turn.growing = f.backlog.grows(now) && f.backlog.last() > turn.beforeBoot()
-	demands = append(demands, s.warmDemand(now)...)
-	rentals = append(rentals, f.retry...)
+	return append(out, s.warmDemand(now)...), turn
+}
+
+// rentals lists the requests for machines to make now, those without an answer first. The
+// mutex is held.
+func (s *Steward) rentals(types map[string]cloud.MachineType, demands []Demand, bins []*bin, turn turnover, now time.Time) []cloud.Rental {
+	f := &s.fleet
+	out := f.retry
 	f.retry = nil
 	onOffer := offers(types, func(p pool) int { return f.poolLimit(p, now) })
 	rent, over := packing(demands, bins, turn, onOffer, maxRentals*maxHire)
@@ -338,21 +382,17 @@
 	for _, o := range onOffer {
 		n := rent[o.pool]
 		// What a repeated rental may bring yet is not rented once more.
-		for _, r := range rentals {
+		for _, r := range out {
 			if o.pool == (pool{r.Type, r.Zone, r.Spot}) {
 				n -= r.Count
 			}
 		}
-		for ; n > 0 && len(rentals) < maxRentals; n -= maxHire {
+		for ; n > 0 && len(out) < maxRentals; n -= maxHire {
 			f.requests++
-			rentals = append(rentals, cloud.Rental{Request: fmt.Sprintf("r-%d-%d", s.epoch, f.requests), Type: o.typeName, Zone: o.zone, Spot: o.spot, Count: min(n, maxHire)})
+			out = append(out, cloud.Rental{Request: fmt.Sprintf("r-%d-%d", s.epoch, f.requests), Type: o.typeName, Zone: o.zone, Spot: o.spot, Count: min(n, maxHire)})
 		}
 	}
-	if now.Sub(f.toldAt) > 10*time.Second {
-		f.toldAt = now
-		s.tellFleet(bins, demands, len(entries), len(f.booting))
-	}
-	return rentals, append(returns, s.spare(bins, idle, now)...), deletes
+	return out
 }
 
 // tellAgainAfter is how long the owner of a deleted machine has to remove its key before it
@@ -561,90 +601,3 @@
 // costs at most twice what would have been best. One that died is found out by the
 // cloud's list long before.
 func replacing(t cloud.MachineType) time.Duration { return 2 * t.Boot() }
-
-func (s *Steward) rent(ctx context.Context, r cloud.Rental) {
-	now := time.Now()
-	cctx, cancel := context.WithTimeout(ctx, 5*time.Second)
-	names, err := s.cloud.Rent(cctx, r)
-	cancel()
-	p := pool{r.Type, r.Zone, r.Spot}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f := &s.fleet
-	switch {
-	case errors.Is(err, cloud.ErrNoCapacity):
-		f.refuse(p, now)
-	case err != nil:
-		slog.Info("rental unanswered", "request", r.Request, "err", err)
-		f.retry = append(f.retry, r)
-		return
-	case len(names) < r.Count:
-		f.refuse(p, now)
-	case f.limits[p] > 0:
-		f.limits[p] = min(4*f.limits[p], maxRentals*maxHire)
-	}
-	for _, name := range names {
-		f.booting[name] = boot{pool: p, since: now, ours: true}
-	}
-	slog.Info("rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "wanted", r.Count, "got", len(names), "machines", names)
-}
-
-// giveBack drains idle machines, which their owners refuse if a task has come
-// in between, and deletes those that are drained.
-func (s *Steward) giveBack(ctx context.Context, names []string) {
-	byHost := map[string][]string{}
-	for _, name := range names {
-		if host, ok := s.feed.Owner(name); ok {
-			byHost[host] = append(byHost[host], name)
-		}
-	}
-	for host, names := range byHost {
-		var reply agent.MachinesReply
-		cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-		err := s.call.Call(cctx, host, "Agent.Drain", agent.MachinesRequest{Names: names, On: true}, &reply)
-		cancel()
-		if err != nil {
-			slog.Debug("draining machines", "host", host, "err", err)
-			continue
-		}
-		s.remove(ctx, reply.Names)
-	}
-}
-
-// remove deletes machines in the cloud and then tells their owners.
-func (s *Steward) remove(ctx context.Context, names []string) {
-	for chunk := range slices.Chunk(names, 100) {
-		cctx, cancel := context.WithTimeout(ctx, 5*time.Second)
-		err := s.cloud.Delete(cctx, chunk)
-		cancel()
-		if err != nil {
-			slog.Info("deleting machines", "names", chunk, "err", err)
-			return
-		}
-		slog.Info("returned", "machines", chunk)
-		s.mu.Lock()
-		for _, name := range chunk {
-			delete(s.fleet.booting, name)
-			s.fleet.deleted[name] = time.Now()
-		}
-		s.mu.Unlock()
-		s.tellOwners(ctx, chunk)
-	}
-}
-
-// tellOwners tells the owners of machines that the cloud has deleted them.
-func (s *Steward) tellOwners(ctx context.Context, names []string) {
-	byHost := map[string][]string{}
-	for _, name := range names {
-		if host, ok := s.feed.Owner(name); ok {
-			byHost[host] = append(byHost[host], name)
-		}
-	}
-	for host, names := range byHost {
-		cctx, cancel := context.WithTimeout(ctx, 3*time.Second)
-		if err := s.call.Call(cctx, host, "Agent.Removed", agent.MachinesRequest{Names: names}, &agent.MachinesReply{}); err != nil {
-			slog.Debug("telling an owner of deleted machines", "host", host, "err", err)
-		}
-		cancel()
-	}
-}
