Budget: parts are of as many controllers as the settings name, whatever size they state

The allocator counts the controllers that the settings list; a part of fewer, where facts.size says so, would make the sum larger than the limit.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -77,7 +77,7 @@
 // New returns a controller that reaches the outside systems over the network.
 func New(settings *config.Settings, pol *policy.Policy) *Controller {
 	return Assemble(settings, pol, Outside{
-		Store:   statekv.NewClient(settings.StateAddress, 0.75*settings.State.RPS, settings.State.SharedChanges(), settings.Controllers),
+		Store:   statekv.NewClient(settings.StateAddress, 0.75*settings.State.RPS, settings.State.SharedChanges(), max(settings.Controllers, len(settings.Hosts()))),
 		Moves:   statekv.NewClient(settings.StateAddress, 0.05*settings.State.RPS, 2*rollout.MoveShare*settings.State.WriteRPS, 1),
 		Cloud:   cloud.NewClient(settings.CloudAddress, 0.8*settings.CloudRPS),
 		Workers: worker.NewClient(),
