--- a/gateway/elsewhere_test.go
+++ b/gateway/elsewhere_test.go
@@ -13,7 +13,7 @@
 	open(t, func(d *door) {
 		submission := `{"id":"wk-1","job_class":"c","owner":"t","shape":"sweep","rank":"normal","pieces":1,"cpus":1,"gpus":0,"mem_gb":1,"bundle":"i","pull_gb":1,"one_zone":false,"spread":false,"loaners":true,"guess_s":5,"snapshot_every_s":0,"snapshot_s":0}`
 		for _, refuse := range []bool{true, false} {
-			d.state.refuse = refuse
+			d.state.refuse.Store(refuse)
 			request := httptest.NewRequest("POST", "/submissions", strings.NewReader(submission))
 			request.Header.Set("Content-Type", "application/json")
 			response, err := d.g.app.Test(request, -1)
--- a/gateway/pipelines_test.go
+++ b/gateway/pipelines_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,11 +40,11 @@
 type learning struct {
 	*fakes.State
 	most   int
-	refuse bool // every transaction
+	refuse atomic.Bool // every transaction
 }
 
 func (l *learning) Txn(ctx context.Context, when []statekv.Cond, then []statekv.Op) (uint64, error) {
-	if l.refuse {
+	if l.refuse.Load() {
 		return 0, statekv.ErrRefused
 	}
 	rev, err := l.State.Txn(ctx, when, then)
