Budget: a story of a limit that is lowered while controllers begin anew

The sum is within the former limit until all know the new one, and within that from then on, whether the allocator's own controller is the first to begin anew or the last.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -62,10 +62,12 @@
 	refused   int
 	worst     float64 // largest sum of rates
 	age       time.Duration
+	limit     float64 // that those who begin now are told
+	most      float64 // that the sum may come to
 }
 
 func newWorld(t *testing.T, n int, seed uint64) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), holder: -1}
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), holder: -1, limit: limit, most: limit}
 	w.service = NewBucket(takes, takes, w.now)
 	for k := range n {
 		w.members = append(w.members, &member{host: fmt.Sprintf("host-%d", k)})
@@ -80,7 +82,7 @@
 
 // start begins a controller's process and session.
 func (w *world) start(m *member) {
-	m.part, m.alive, m.backlog = NewPart(limit, len(w.members)), true, 0
+	m.part, m.alive, m.backlog = NewPart(w.limit, len(w.members)), true, 0
 	m.part.Begin(w.now)
 	m.begun = w.now
 	m.bucket = NewBucket(0, m.part.Own(), w.now)
@@ -94,7 +96,7 @@
 	for _, m := range w.members {
 		hosts = append(hosts, m.host)
 	}
-	w.allocator = NewAllocator(w.epoch, limit, hosts)
+	w.allocator = NewAllocator(w.epoch, w.limit, hosts)
 }
 
 func (w *world) stands(m *member) bool { return !m.alive || w.now.Before(m.frozen) }
@@ -115,8 +117,8 @@
 				w.report(k, m)
 			}
 		}
-		if w.worst = max(w.worst, sum); sum > limit+1e-9 {
-			w.t.Fatalf("at %v the parts come to %.2f of %.0f", w.now.Sub(time.Unix(1000, 0)), sum, limit)
+		if w.worst = max(w.worst, sum); sum > w.most+1e-9 {
+			w.t.Fatalf("at %v the parts come to %.2f of %.0f", w.now.Sub(time.Unix(1000, 0)), sum, w.most)
 		}
 	}
 }
@@ -367,6 +369,41 @@
 	w.end()
 }
 
+// The limit is lowered: controllers begin anew with it one by one, under an allocator that
+// knows of it or does not. The sum is within the former limit until all know, and within the
+// new one from then on.
+func TestLimitIsLoweredWhileControllersBeginAnew(t *testing.T) {
+	for _, first := range []int{0, 4} { // the allocator's, or the last of the others
+		w := newWorld(t, 5, 6)
+		w.members[1].want, w.members[3].want = 100, 100
+		w.run(3 * time.Second)
+		w.limit = limit / 2
+		for k := range w.members {
+			m := w.members[(first+k)%len(w.members)]
+			m.alive, m.ended = false, w.now
+			if w.members[w.holder] == m {
+				w.holder = -1
+			}
+			w.run(500 * time.Millisecond)
+			w.start(m)
+			w.run(time.Second)
+			if w.holder < 0 {
+				w.lead((first + k + 1) % len(w.members))
+			}
+			w.run(time.Second)
+		}
+		w.holder = -1
+		w.run(time.Second)
+		w.lead(2) // which knows the new limit
+		w.run(LoanTime + PromiseTime)
+		w.most = limit / 2
+		if got := w.rateOf(w.members[1], 5*time.Second); got < limit/2/5 {
+			t.Errorf("it makes %.1f changes a second, its part is %.1f", got, limit/2/5)
+		}
+		w.end()
+	}
+}
+
 // Loans of the allocator before may still be in use when a new one begins.
 func TestNewAllocatorLendsNothingAtFirst(t *testing.T) {
 	a := NewAllocator(2, limit, []string{"host-0", "host-1"})
