One counting connection, and wants of lookups are not noted

Found in a last reading: peer and the stand-ins each had a connection that counts its bytes (now package netcount), and Client.Room noted wants of lookups that need left out again.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -2,7 +2,7 @@
 // the state service takes. Each controller has an equal part by right, of as many parts as
 // there are controllers in the settings, whoever lives. One that needs little promises to
 // use at most half of its part for a while, and the allocator, which is the steward's, lends
-// what was promised, and most of the parts of controllers whose sessions are over, to those
+// what was promised, and half of the parts of controllers whose sessions are over, to those
 // that need more. Promises and loans are leases: without an answer each controller falls
 // back to its own part, so that the sum is never above the limit, whoever is cut off, stands
 // still or begins anew, and however many allocators there seem to be.
--- a/fakes/loopback.go
+++ b/fakes/loopback.go
@@ -11,14 +11,15 @@
 
 	"github.com/valyala/fasthttp"
 
+	"robinstack/netcount"
 	"robinstack/worker"
 )
 
 // Traffic counts what passes between workers and controllers, HTTP headers included and
 // those of TCP and IP not.
 type Traffic struct {
-	Reports, Commands  atomic.Uint64
-	Received, SentBack atomic.Uint64 // bytes that workers received, and sent
+	Reports, Commands atomic.Uint64
+	Bytes             netcount.Counter // that workers sent and received
 }
 
 // Loopback puts a fleet's workers on the network of this machine: each has a listener and a
@@ -36,24 +37,6 @@
 	f.loopback = l
 }
 
-// countedConn is a worker's end of a connection.
-type countedConn struct {
-	net.Conn
-	traffic *Traffic
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.traffic.Received.Add(uint64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.traffic.SentBack.Add(uint64(n))
-	return n, err
-}
-
 type countedListener struct {
 	net.Listener
 	traffic *Traffic
@@ -64,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return countedConn{conn, l.traffic}, nil
+	return l.traffic.Bytes.Conn(conn), nil
 }
 
 // connection is a worker's connection to the controller that it reports to.
@@ -105,7 +88,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return countedConn{conn, &c.loopback.Traffic}, nil
+			return c.loopback.Traffic.Bytes.Conn(conn), nil
 		}}
 	return c.client
 }
--- a/fakes/loopback_test.go
+++ b/fakes/loopback_test.go
@@ -80,7 +80,7 @@
 	}
 	eventually("the task on its machine", func() bool { return history.On("wk-1") == 1 })
 	eventually("the end of its lease", func() bool { return f.KilledByLease() == 1 && history.On("wk-1") == 0 })
-	if reports := l.Traffic.Reports.Load(); reports < 2 || l.Traffic.Received.Load() == 0 || l.Traffic.Commands.Load() != 3 {
-		t.Error(fmt.Sprint("traffic: ", reports, l.Traffic.Received.Load(), l.Traffic.Commands.Load()))
+	if reports := l.Traffic.Reports.Load(); reports < 2 || l.Traffic.Bytes.Received.Load() == 0 || l.Traffic.Commands.Load() != 3 {
+		t.Error(fmt.Sprint("traffic: ", reports, l.Traffic.Bytes.Received.Load(), l.Traffic.Commands.Load()))
 	}
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -69,7 +69,7 @@
 		l.failed = time.Now()
 		return nil, Greeting{}, err
 	}
-	client := rpc.NewClient(t.count(conn))
+	client := rpc.NewClient(t.bytes.Conn(conn))
 	theirs, err := greet(client, mine)
 	if err != nil {
 		client.Close()
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -2,9 +2,8 @@
 
 import (
 	"maps"
-	"net"
+	"robinstack/netcount"
 	"sync"
-	"sync/atomic"
 )
 
 // Traffic is what a controller has asked others since its process or its last session began.
@@ -16,7 +15,7 @@
 
 // traffic counts what passes. The zero value counts from nothing.
 type traffic struct {
-	sent, received atomic.Uint64
+	bytes netcount.Counter
 
 	mu    sync.Mutex
 	calls map[string]uint64
@@ -31,30 +30,10 @@
 	t.calls[method]++
 }
 
-// count returns a connection whose bytes are counted.
-func (t *traffic) count(conn net.Conn) net.Conn { return countedConn{conn, t} }
-
-type countedConn struct {
-	net.Conn
-	traffic *traffic
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.traffic.received.Add(uint64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.traffic.sent.Add(uint64(n))
-	return n, err
-}
-
 // Traffic is what this controller has asked others.
 func (n *Network) Traffic() Traffic {
 	t := &n.traffic
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Traffic{Sent: t.sent.Load(), Received: t.received.Load(), Calls: maps.Clone(t.calls)}
+	return Traffic{Sent: t.bytes.Sent.Load(), Received: t.bytes.Received.Load(), Calls: maps.Clone(t.calls)}
 }
--- a/scale/load.go
+++ b/scale/load.go
@@ -221,7 +221,7 @@
 	defer l.mu.Unlock()
 	traffic := &l.loopback.Traffic
 	r := &LoadResult{Starts: l.history.Starts(), StartedAgain: l.history.StartedAgain(), KilledByLease: l.fleet.KilledByLease(), MostRunning: l.most, Overshoot: l.history.Overshoot(),
-		Reports: traffic.Reports.Load(), Commands: traffic.Commands.Load(), WorkerBytes: traffic.Received.Load() + traffic.SentBack.Load(),
+		Reports: traffic.Reports.Load(), Commands: traffic.Commands.Load(), WorkerBytes: traffic.Bytes.Received.Load() + traffic.Bytes.Sent.Load(),
 		CloudRequests: l.cloud.Requests(), CloudRefused: l.cloud.Refused(), WorkerLateness: l.steps.latency(), Broken: l.history.Broken()}
 	l.users.sum(r)
 	const span = 10
--- a/statekv/client.go
+++ b/statekv/client.go
@@ -215,10 +215,12 @@
 func (c *Client) Room(kind Kind, n int) bool {
 	now := time.Now()
 	limiter := c.kinds[kind]
-	if kind != Lookups {
-		limiter.SetLimitAt(now, rate.Limit(shares[kind]*c.writes.rate(now)))
+	atOnce := min(n, limiter.Burst())
+	if kind == Lookups {
+		return limiter.AllowN(now, atOnce)
 	}
-	if limiter.AllowN(now, min(n, limiter.Burst())) {
+	limiter.SetLimitAt(now, rate.Limit(shares[kind]*c.writes.rate(now)))
+	if limiter.AllowN(now, atOnce) {
 		return true
 	}
 	c.writes.wanted(kind, n, now)
--- a/statekv/writebudget.go
+++ b/statekv/writebudget.go
@@ -155,8 +155,8 @@
 	for _, n := range w.asked {
 		sum += n
 	}
-	for kind, v := range w.waiting {
-		if Kind(kind) != Lookups && now.Sub(v.at) < wantTime {
+	for _, v := range w.waiting {
+		if now.Sub(v.at) < wantTime {
 			sum += float64(v.changes)
 		}
 	}
