--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -45,6 +45,8 @@
 	stateLimits [2]int // maximum bytes of a value and operations of a transaction; zero: the defaults
 	dropsStops  bool   // requests to stop or forget tasks are dropped
 
+	entryDelay time.Duration // time from the receipt of machine entries until the scheduler gets them
+
 	commitLoss  commitLoss // what is lost of the next commits
 	lossesLeft  int        // number of commits that are still to be lost
 	released    int        // number of released quota grants
@@ -160,7 +162,11 @@
 	controller.scheduler = scheduler.New(
 		settings, policy.Default(), cluster.state, mirror, session, cluster, machineTypes, dependencies)
 	feed := changefeed.New(
-		cluster, mirror, hosts, controller.scheduler.HighestEpoch, controller.scheduler.OnEntries)
+		cluster, mirror, hosts, controller.scheduler.HighestEpoch,
+		func(entries []agentapi.MachineEntry) {
+			time.Sleep(cluster.entryDelay)
+			controller.scheduler.OnEntries(entries)
+		})
 	cluster.mu.Lock()
 	cluster.controllers[host] = controller
 	cluster.mu.Unlock()
--- a/internal/scheduler/shard_takeover_test.go
+++ b/internal/scheduler/shard_takeover_test.go
@@ -80,6 +80,33 @@
 	})
 }
 
+// Invariant ran_twice: a busy process confirms a machine before its scheduler knows what the entry lists.
+func TestTakeoverDoesNotRestartTasksOfUnappliedEntries(t *testing.T) {
+	runScenario(t, func(cluster *testCluster) {
+		cluster.machines = append(cluster.machines, cluster.workers.Add("m3", "box", "a"))
+		first := cluster.start("host-0")
+		cluster.advance(3 * time.Second)
+		zone := "a"
+		zoneJob := newSpec("wk-1", job.Array, 2, 1)
+		zoneJob.Zone = &zone
+		cluster.submit(first, zoneJob)
+		cluster.advance(4 * time.Second)
+		if n := cluster.countStarts("wk-1"); n != 2 {
+			t.Fatalf("got %d starts before the crash, want 2", n)
+		}
+		unresponsive := cluster.machines[1]
+		cluster.workers.WithLock(func() { unresponsive.HoldCommands = true })
+		cluster.machines = []*emulator.Worker{cluster.machines[0], cluster.machines[2]}
+		cluster.entryDelay = 2 * time.Second
+		cluster.crash(first, 1)
+		cluster.start("host-1")
+		cluster.advance(15 * time.Second)
+		if n := cluster.countStarts("wk-1"); n != 2 {
+			t.Fatalf("got %d starts of 2 tasks that were running during the takeover, want 2", n)
+		}
+	})
+}
+
 // Every controller crash left a job shard and machine shards behind forever, and the next crash had
 // to take them over one by one. After the job shard's key is removed, delayed writes of its earlier
 // scheduler must still fail.
