scheduler: apply the entry that confirms a machine before relying on the confirmation

Cause: after a takeover, a job waits until each machine that may run its tasks is confirmed, that is, until the machine's entry in the change feed lists what runs there. The feed publishes an entry and then passes it to the scheduler, in another goroutine than the one that reads confirmations. Between the two, reconcileShards counted the machine as confirmed while the scheduler still had its tasks as pending. If any machine was unconfirmed, nothing applied the entries before the next placement; if none was, a placement could begin in the time that reading and applying all entries takes, which grows with the number of machines.

Why the fix works: a confirmation now carries the entry that it rests on (changefeed.Confirmation), and the scheduler applies it in the critical section in which it drops the machine from the unconfirmed ones. No placement can see one without the other. Since entries can now be applied by two goroutines, an entry that is older than an applied one is ignored (agentapi.AppliedVersions).

--- a/internal/agentapi/messages.go
+++ b/internal/agentapi/messages.go
@@ -180,6 +180,33 @@
 // missing from the entry is proven gone.
 func (e *MachineEntry) Reconciled() bool { return e.Settled }
 
+// EntryVersion orders the entries of one machine: by ownership revision, then by the owner's
+// version.
+type EntryVersion struct{ Rev, Ver uint64 }
+
+// Version returns the entry's position among all entries of its machine.
+func (e *MachineEntry) Version() EntryVersion { return EntryVersion{e.Rev, e.Ver} }
+
+// Before reports whether o is of a later entry.
+func (v EntryVersion) Before(o EntryVersion) bool {
+	return v.Rev < o.Rev || v.Rev == o.Rev && v.Ver < o.Ver
+}
+
+// AppliedVersions holds the version of the latest entry of each machine that a component has
+// applied. It is not safe for concurrent use.
+type AppliedVersions map[string]EntryVersion
+
+// Admit reports whether the entry may be applied, and records it as applied. An entry that is
+// older than an applied one must not be applied: entries reach a component by several goroutines,
+// so they may come out of order. The latest entry may be applied again.
+func (a AppliedVersions) Admit(entry *MachineEntry) bool {
+	if entry.Version().Before(a[entry.Machine]) {
+		return false
+	}
+	a[entry.Machine] = entry.Version()
+	return true
+}
+
 // Unresponsive reports whether the machine is unresponsive, or its heartbeats or commands are lost.
 func (e *MachineEntry) Unresponsive() bool { return e.Silent }
 
--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -183,7 +183,7 @@
 	}
 	f.agents[host] = state
 	for _, e := range reply.Entries {
-		if previous, ok := f.entries[e.Machine]; ok && !isNewer(&e, &previous) {
+		if previous, ok := f.entries[e.Machine]; ok && !previous.Version().Before(e.Version()) {
 			continue
 		}
 		e.Received = time.Now()
@@ -193,11 +193,6 @@
 	return changed
 }
 
-// isNewer reports whether entry is later than previous, an entry of the same machine.
-func isNewer(entry, previous *agentapi.MachineEntry) bool {
-	return entry.Rev > previous.Rev || entry.Rev == previous.Rev && entry.Ver > previous.Ver
-}
-
 // Entries returns the latest entries of all registered machines. It drops machines whose key has
 // been removed: their tasks are proven to have ended.
 func (f *Feed) Entries() []agentapi.MachineEntry {
@@ -235,11 +230,19 @@
 // AllEpochs is the epoch up to which a machine that has been deregistered counts as confirmed.
 const AllEpochs = ^uint64(0)
 
-// ConfirmedEpoch returns the epoch up to which a machine is confirmed, or 0. Confirmed means that
-// the latest entry lists everything that may run on the machine under its present ownership, and
-// that the owner refuses commits sent under earlier epochs. reason says why the machine is not
-// confirmed up to a later epoch.
-func (f *Feed) ConfirmedEpoch(kv statekv.KV) (epoch uint64, reason string) {
+// Confirmation says up to which epoch a machine is confirmed: Entry lists everything that may run on
+// the machine under its present ownership, and the owner refuses commits sent under earlier epochs.
+//
+// The feed publishes an entry before its consumers have applied it. A consumer must therefore apply
+// Entry itself before it relies on Epoch, within the same critical section.
+type Confirmation struct {
+	Epoch  uint64                // 0: not confirmed
+	Entry  agentapi.MachineEntry // the entry that confirms the machine; valid if Epoch is neither 0 nor AllEpochs
+	Reason string                // why the machine is not confirmed up to a later epoch
+}
+
+// Confirm returns the confirmation of the machine with key kv.
+func (f *Feed) Confirm(kv statekv.KV) Confirmation {
 	holder, rev := shard.OwnerOf(f.mirror, kv)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -247,19 +250,23 @@
 	state := f.agents[holder.Host]
 	switch {
 	case holder.Host == "":
-		return 0, "machine has no owner"
+		return Confirmation{Reason: "machine has no owner"}
 	case !known:
-		return 0, "owner " + holder.Host + " has not reported the machine"
+		return Confirmation{Reason: "owner " + holder.Host + " has not reported the machine"}
 	case entry.Rev != rev:
-		return 0, fmt.Sprintf(
+		return Confirmation{Reason: fmt.Sprintf(
 			"latest entry is from %s at ownership revision %d; the owner is %s at revision %d",
-			entry.Host, entry.Rev, holder.Host, rev)
+			entry.Host, entry.Rev, holder.Host, rev)}
 	case state.incarnation != holder.Incarnation:
-		return 0, "owner " + holder.Host + " has opened a new session"
+		return Confirmation{Reason: "owner " + holder.Host + " has opened a new session"}
 	case !entry.Reconciled():
-		return 0, "machine is not reconciled with its owner " + holder.Host
+		return Confirmation{Reason: "machine is not reconciled with its owner " + holder.Host}
+	}
+	return Confirmation{
+		Epoch:  state.confirmedRev,
+		Entry:  entry,
+		Reason: "owner " + holder.Host + " has not caught up with the state service",
 	}
-	return state.confirmedRev, "owner " + holder.Host + " has not caught up with the state service"
 }
 
 // AcknowledgedUntil returns a time up to which no controller had acknowledged to a user a
--- a/internal/leader/ledger.go
+++ b/internal/leader/ledger.go
@@ -35,7 +35,7 @@
 	unconfirmed := 0
 	for _, kv := range l.mirror.Dir(statekv.MachinePrefix) {
 		name := strings.TrimPrefix(kv.Key, statekv.MachinePrefix)
-		confirmedEpoch, _ := l.feed.ConfirmedEpoch(kv)
+		confirmedEpoch := l.feed.Confirm(kv).Epoch
 		l.mu.Lock()
 		if confirmedEpoch >= epoch {
 			l.confirmed[name] = true
--- a/internal/scheduler/machine_entries.go
+++ b/internal/scheduler/machine_entries.go
@@ -22,8 +22,12 @@
 	}
 }
 
-// onEntry applies the entry of one machine. The caller must hold s.mu.
+// onEntry applies the entry of one machine, unless a later one has been applied. The caller must
+// hold s.mu.
 func (s *Scheduler) onEntry(entry *agentapi.MachineEntry) {
+	if !s.appliedEntries.Admit(entry) {
+		return
+	}
 	listed := make(map[agentapi.TaskRef]bool, len(entry.Tasks))
 	for i := range entry.Tasks {
 		attempt := &entry.Tasks[i]
@@ -126,6 +130,7 @@
 	revision := s.mirror.Rev()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.dropAppliedEntries(revision)
 	for machine, placed := range s.placedOn {
 		if _, ok := s.mirror.Get(statekv.MachinePrefix + machine); ok {
 			continue
@@ -144,6 +149,16 @@
 	}
 }
 
+// dropAppliedEntries drops the versions of machines whose keys have been removed. revision is one that
+// the mirror had reached before. The caller must hold s.mu.
+func (s *Scheduler) dropAppliedEntries(revision uint64) {
+	for machine, version := range s.appliedEntries {
+		if _, ok := s.mirror.Get(statekv.MachinePrefix + machine); !ok && revision > version.Rev {
+			delete(s.appliedEntries, machine)
+		}
+	}
+}
+
 // addPlacedAttempt records that an attempt is, or may be, on a machine. The caller must hold s.mu.
 func (s *Scheduler) addPlacedAttempt(machine string, ref agentapi.TaskRef) {
 	if s.placedOn[machine] == nil {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -74,7 +74,8 @@
 	otherJobs        map[string]bool // IDs of open jobs in job shards of other controllers
 	deletions        map[string]recordDeletion
 	placedOn         map[string]map[agentapi.TaskRef]bool // by machine: attempts that are or may be there
-	stopping         map[agentapi.TaskRef]bool            // attempts being stopped
+	appliedEntries   agentapi.AppliedVersions
+	stopping         map[agentapi.TaskRef]bool // attempts being stopped
 	outbox           outbox
 	classes          map[classKey]*schedulingClass
 	activePlacements int // placements in progress
@@ -113,23 +114,24 @@
 	dependencies *dag.Tracker,
 ) *Scheduler {
 	return &Scheduler{
-		settings:     settings,
-		policy:       pol,
-		store:        store,
-		mirror:       mirror,
-		session:      session,
-		peers:        peers,
-		machineTypes: machineTypes,
-		versions:     rollout.NewVersionReader(mirror),
-		dependencies: dependencies,
-		jobs:         map[string]*jobState{},
-		shards:       map[string]*jobShard{},
-		otherJobs:    map[string]bool{},
-		deletions:    map[string]recordDeletion{},
-		placedOn:     map[string]map[agentapi.TaskRef]bool{},
-		stopping:     map[agentapi.TaskRef]bool{},
-		classes:      map[classKey]*schedulingClass{},
-		wakeUp:       make(chan struct{}, 1),
+		settings:       settings,
+		policy:         pol,
+		store:          store,
+		mirror:         mirror,
+		session:        session,
+		peers:          peers,
+		machineTypes:   machineTypes,
+		versions:       rollout.NewVersionReader(mirror),
+		dependencies:   dependencies,
+		jobs:           map[string]*jobState{},
+		shards:         map[string]*jobShard{},
+		otherJobs:      map[string]bool{},
+		deletions:      map[string]recordDeletion{},
+		placedOn:       map[string]map[agentapi.TaskRef]bool{},
+		appliedEntries: agentapi.AppliedVersions{},
+		stopping:       map[agentapi.TaskRef]bool{},
+		classes:        map[classKey]*schedulingClass{},
+		wakeUp:         make(chan struct{}, 1),
 	}
 }
 
--- a/internal/scheduler/shard_reconciliation.go
+++ b/internal/scheduler/shard_reconciliation.go
@@ -22,14 +22,6 @@
 	reconciledReportTimeout = 2 * time.Second
 )
 
-// confirmation is the epoch up to which a machine is confirmed, and the reason why it is not
-// confirmed for later epochs. A machine is confirmed for an epoch if its entry lists every task
-// that schedulers with an earlier epoch may have started on it.
-type confirmation struct {
-	epoch  uint64
-	reason string
-}
-
 // reconcileShards checks which machines are confirmed. A job shard is reconciled when every machine
 // is confirmed for its epoch.
 func (s *Scheduler) reconcileShards(ctx context.Context) {
@@ -45,7 +37,6 @@
 		}
 		return
 	}
-	s.OnEntries(s.feed.Entries())
 	for id, shard := range reconciled {
 		s.mu.Lock()
 		shard.markReconciled()
@@ -72,24 +63,27 @@
 }
 
 // lookUpConfirmations looks up in the change feed up to which epochs the machines are confirmed.
-func (s *Scheduler) lookUpConfirmations(machines map[string]bool) map[string]confirmation {
-	confirmations := make(map[string]confirmation, len(machines))
+func (s *Scheduler) lookUpConfirmations(machines map[string]bool) map[string]changefeed.Confirmation {
+	confirmations := make(map[string]changefeed.Confirmation, len(machines))
 	for machine := range machines {
 		kv, ok := s.mirror.Get(statekv.MachinePrefix + machine)
 		if !ok {
 			// A machine's key is removed only when all its tasks are proven gone.
-			confirmations[machine] = confirmation{epoch: changefeed.AllEpochs}
+			confirmations[machine] = changefeed.Confirmation{Epoch: changefeed.AllEpochs}
 			continue
 		}
-		epoch, reason := s.feed.ConfirmedEpoch(kv)
-		confirmations[machine] = confirmation{epoch: epoch, reason: reason}
+		confirmations[machine] = s.feed.Confirm(kv)
 	}
 	return confirmations
 }
 
 // applyConfirmations removes confirmed machines from the unreconciled job shards and returns the
-// job shards that have no unconfirmed machine left.
-func (s *Scheduler) applyConfirmations(confirmations map[string]confirmation, now time.Time) map[string]*jobShard {
+// job shards that have no unconfirmed machine left. The entry that confirms a machine is applied in
+// the same critical section: otherwise a placement could begin while this scheduler does not know yet
+// which of its tasks run on the machine.
+func (s *Scheduler) applyConfirmations(
+	confirmations map[string]changefeed.Confirmation, now time.Time,
+) map[string]*jobShard {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reconciled := map[string]*jobShard{}
@@ -97,7 +91,7 @@
 		if shard.reconciled {
 			continue
 		}
-		pending := shard.applyConfirmations(confirmations)
+		pending := s.confirmMachines(shard, confirmations)
 		if pending == "" {
 			reconciled[id] = shard
 			continue
@@ -105,21 +99,27 @@
 		if now.Sub(shard.pendingLoggedAt) > pendingLogInterval && now.Sub(shard.acquiredAt) > pendingLogDelay {
 			shard.pendingLoggedAt = now
 			slog.Info("job shard reconciliation pending", "job_shard", id,
-				"machines", len(shard.unconfirmed), "machine", pending, "reason", confirmations[pending].reason)
+				"machines", len(shard.unconfirmed), "machine", pending, "reason", confirmations[pending].Reason)
 		}
 	}
 	return reconciled
 }
 
-// applyConfirmations removes confirmed machines and returns the name of one that is still
-// unconfirmed, or "".
-func (shard *jobShard) applyConfirmations(confirmations map[string]confirmation) (pending string) {
+// confirmMachines applies the entries of confirmed machines, removes these machines from the job
+// shard, and returns the name of one that is still unconfirmed, or "". The caller must hold s.mu.
+func (s *Scheduler) confirmMachines(
+	shard *jobShard, confirmations map[string]changefeed.Confirmation,
+) (pending string) {
 	for machine := range shard.unconfirmed {
-		if confirmed, checked := confirmations[machine]; checked && confirmed.epoch >= shard.epoch {
-			shard.confirm(machine)
+		confirmed, checked := confirmations[machine]
+		if !checked || confirmed.Epoch < shard.epoch {
+			pending = machine
 			continue
 		}
-		pending = machine
+		if confirmed.Epoch != changefeed.AllEpochs {
+			s.onEntry(&confirmed.Entry)
+		}
+		shard.confirm(machine)
 	}
 	return pending
 }
