leader: apply the entry that confirms a machine to the quota ledger first

Evidence: TestQuotaCountsTasksOfConfirmedMachineWhoseEntryIsNotApplied failed before: 2 of 10 GPUs were granted beside 8 in use and 8 that an unconfirmed machine may hold.

The ledger gets the entry in the critical section that marks the machine as confirmed, and ignores entries that are older than an applied one.

--- /dev/null
+++ b/internal/leader/confirmation_test.go
@@ -0,0 +1,65 @@
+package leader
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"robinstack/internal/agentapi"
+	"robinstack/internal/changefeed"
+	"robinstack/internal/job"
+	"robinstack/internal/shard"
+	"robinstack/internal/statekv"
+)
+
+// singleEntryAgent answers the first watch with one entry, and leaves later ones unanswered.
+type singleEntryAgent struct {
+	reply    agentapi.WatchReply
+	answered bool
+}
+
+func (a *singleEntryAgent) Call(ctx context.Context, _, _ string, _, reply any) error {
+	if a.answered {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	a.answered = true
+	*reply.(*agentapi.WatchReply) = a.reply
+	return nil
+}
+
+// Invariant quota: a busy process confirms a machine before the ledger has its entry.
+func TestQuotaCountsTasksOfConfirmedMachineWhoseEntryIsNotApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { cancel(); time.Sleep(10 * time.Second); synctest.Wait() }()
+		l, state := newLeader(t, ctx)
+		owner := statekv.Holder{Host: "host-9", Incarnation: 7}
+		rev, err := state.Txn(ctx, nil, []statekv.Op{
+			{Set: statekv.MachineShardPrefix + "host-9.1.0", Value: shard.Record{Holder: owner}},
+			{Set: statekv.MachinePrefix + "m2", Value: shard.MachineRecord{Shard: "host-9.1.0", Type: "box", Zone: "a"}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.mirror.Load(ctx); err != nil {
+			t.Fatal(err)
+		}
+		agent := &singleEntryAgent{reply: agentapi.WatchReply{Host: owner.Host, Instance: owner.Incarnation, Ver: 1,
+			Entries: []agentapi.MachineEntry{{Machine: "m1", Host: owner.Host, Rev: rev, Ver: 1, Settled: true,
+				Tasks: []agentapi.TaskEntry{{TaskRef: agentapi.TaskRef{Job: "wk-9", Attempt: 1}, State: "running",
+					Known: true, Team: "t", Need: job.Resources{GPUs: 8}}}}}}}
+		busy := func([]agentapi.MachineEntry) { time.Sleep(time.Second) }
+		l.feed = changefeed.New(agent, l.mirror, []string{owner.Host}, l.Epoch, busy)
+		go l.feed.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		l.reconcileLedger()
+		if !l.confirmed["m1"] || l.confirmed["m2"] {
+			t.Fatalf("got machines %v confirmed, want only m1", l.confirmed)
+		}
+		if requestGrant(t, l, 0, 2) {
+			t.Error("got a grant for 2 of 10 GPUs while m1 runs tasks with 8 and the unconfirmed m2 may hold 8")
+		}
+	})
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"robinstack/internal/agentapi"
 	"robinstack/internal/autoscaler"
 	"robinstack/internal/budget"
 	"robinstack/internal/changefeed"
@@ -42,13 +43,14 @@
 	catalogue *cloud.Catalogue
 	feed      *changefeed.Feed
 
-	mu           sync.Mutex
-	epoch        uint64          // 0: not the leader
-	confirmed    map[string]bool // machines whose entries show everything that earlier leaders granted
-	reconciled   bool            // whether all machines are confirmed
-	ledger       *quota.Ledger
-	reservations *quota.Reservations
-	demand       *autoscaler.DemandReports // kept across epochs: reports can arrive before an epoch starts
+	mu             sync.Mutex
+	epoch          uint64          // 0: not the leader
+	confirmed      map[string]bool // machines whose entries show everything that earlier leaders granted
+	reconciled     bool            // whether all machines are confirmed
+	ledger         *quota.Ledger
+	appliedEntries agentapi.AppliedVersions // entries that the ledger includes
+	reservations   *quota.Reservations
+	demand         *autoscaler.DemandReports // kept across epochs: reports can arrive before an epoch starts
 
 	// The fields below belong to one epoch.
 	fleet         *autoscaler.Fleet
@@ -70,7 +72,7 @@
 	return &Leader{
 		settings: settings, policy: pol, mirror: mirror, session: session,
 		peers: peers, cloud: api, catalogue: catalogue,
-		ledger: quota.NewLedger(), reservations: quota.NewReservations(),
+		ledger: quota.NewLedger(), appliedEntries: agentapi.AppliedVersions{}, reservations: quota.NewReservations(),
 		demand: autoscaler.NewDemandReports(),
 		fleet:  autoscaler.NewFleet(settings, pol), loggedPrices: map[string]price{},
 		deletionReports: make(chan []string),
--- a/internal/leader/ledger.go
+++ b/internal/leader/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"robinstack/internal/agentapi"
+	"robinstack/internal/changefeed"
 	"robinstack/internal/job"
 	"robinstack/internal/quota"
 	"robinstack/internal/shard"
@@ -22,7 +23,6 @@
 	if epoch == 0 || reconciled || l.countUnconfirmedMachines(epoch) > 0 {
 		return
 	}
-	l.OnEntries(l.feed.Entries())
 	l.mu.Lock()
 	l.reconciled = true
 	l.mu.Unlock()
@@ -35,25 +35,40 @@
 	unconfirmed := 0
 	for _, kv := range l.mirror.Dir(statekv.MachinePrefix) {
 		name := strings.TrimPrefix(kv.Key, statekv.MachinePrefix)
-		confirmedEpoch := l.feed.Confirm(kv).Epoch
-		l.mu.Lock()
-		if confirmedEpoch >= epoch {
-			l.confirmed[name] = true
-		}
-		if !l.confirmed[name] {
+		if !l.confirmMachine(name, l.feed.Confirm(kv), epoch) {
 			unconfirmed++
 		}
-		l.mu.Unlock()
 	}
 	return unconfirmed
 }
 
+// confirmMachine marks a machine as confirmed if the confirmation covers the epoch, and reports
+// whether it is confirmed. The ledger gets the entry that confirms the machine first: otherwise the
+// machine would count neither with its capacity nor with its tasks.
+func (l *Leader) confirmMachine(name string, confirmation changefeed.Confirmation, epoch uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if confirmation.Epoch >= epoch && !l.confirmed[name] {
+		l.applyEntry(&confirmation.Entry)
+		l.confirmed[name] = true
+	}
+	return l.confirmed[name]
+}
+
 // OnEntries updates the ledger from new machine entries.
 func (l *Leader) OnEntries(entries []agentapi.MachineEntry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i := range entries {
-		l.ledger.Apply(&entries[i])
+		l.applyEntry(&entries[i])
+	}
+}
+
+// applyEntry updates the ledger from an entry, unless a later entry of the machine has been applied.
+// The caller must hold l.mu.
+func (l *Leader) applyEntry(entry *agentapi.MachineEntry) {
+	if l.appliedEntries.Admit(entry) {
+		l.ledger.Apply(entry)
 	}
 }
 
