scheduler: do not release completed attempts twice after a cancellation

What callers saw: a controller ended with a panic (slice bounds out of range in queueForgetEnded); others took over and nothing was lost.

Cause: a batch of completed tasks was written, then the job was cancelled, and the watch showed the cancellation before the batch's answer arrived. The cancellation released all ended attempts, and the answer released those of the batch once more.

A batch whose job has a final record by then has nothing left to release.

--- a/internal/scheduler/cluster_helpers_test.go
+++ b/internal/scheduler/cluster_helpers_test.go
@@ -69,6 +69,16 @@
 	}
 }
 
+// recordRevision returns the revision of a job's record.
+func (cluster *testCluster) recordRevision(id string) uint64 {
+	cluster.t.Helper()
+	kv, err := cluster.state.Get(cluster.ctx, job.RecordKey(id))
+	if err != nil {
+		cluster.t.Fatal(err)
+	}
+	return kv.Rev
+}
+
 // legacyTombstone returns the operations that write a job's tombstone in the legacy format.
 func legacyTombstone(id, status string, tasks int) []statekv.Op {
 	return tombstone.WriteOps(id, tombstone.Tombstone{Status: status, Tasks: tasks}, tombstone.LegacyOnly)
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -45,6 +45,8 @@
 	stateLimits [2]int // maximum bytes of a value and operations of a transaction; zero: the defaults
 	dropsStops  bool   // requests to stop or forget tasks are dropped
 
+	txnAnswerDelay time.Duration // time from a transaction until a scheduler gets its answer
+
 	entryDelay time.Duration // time from the receipt of machine entries until the scheduler gets them
 
 	commitLoss  commitLoss // what is lost of the next commits
@@ -152,7 +154,7 @@
 	if err := mirror.Load(ctx); err != nil {
 		cluster.t.Fatal(err)
 	}
-	session, err := statekv.OpenSession(ctx, cluster.state, mirror, host, 4*time.Second, statekv.Registration{})
+	session, err := statekv.OpenSession(ctx, delayedAnswers{cluster.state, cluster}, mirror, host, 4*time.Second, statekv.Registration{})
 	if err != nil {
 		cluster.t.Fatal(err)
 	}
@@ -160,7 +162,7 @@
 	controller.agent = clusteragent.New(settings, cluster.state, mirror, session, cluster.workers, machineTypes)
 	controller.service = clusteragent.NewService(controller.agent)
 	controller.scheduler = scheduler.New(
-		settings, policy.Default(), cluster.state, mirror, session, cluster, machineTypes, dependencies)
+		settings, policy.Default(), delayedAnswers{cluster.state, cluster}, mirror, session, cluster, machineTypes, dependencies)
 	feed := changefeed.New(
 		cluster, mirror, hosts, controller.scheduler.HighestEpoch,
 		func(entries []agentapi.MachineEntry) {
@@ -181,6 +183,18 @@
 	return controller
 }
 
+// delayedAnswers delays the answers of transactions, which the state service applies at once.
+type delayedAnswers struct {
+	statekv.Store
+	cluster *testCluster
+}
+
+func (s delayedAnswers) Txn(ctx context.Context, when []statekv.Compare, then []statekv.Op) (uint64, error) {
+	rev, err := s.Store.Txn(ctx, when, then)
+	time.Sleep(s.cluster.txnAnswerDelay)
+	return rev, err
+}
+
 // crash stops a controller and immediately revokes the state lease with the given ID.
 func (cluster *testCluster) crash(controller *testController, lease uint64) {
 	cluster.mu.Lock()
--- a/internal/scheduler/completion_records.go
+++ b/internal/scheduler/completion_records.go
@@ -244,6 +244,11 @@
 // onCompletionWritten handles a write that was applied. The caller must hold s.mu.
 func (s *Scheduler) onCompletionWritten(id string, j *jobState, write *completionWrite, revision uint64) {
 	j.revision, j.record.SpecFragments = revision, write.specFragments
+	if !write.final && j.phase == jobRecorded {
+		// The watch has shown a later final record, which released all ended attempts.
+		s.dropIfGone(id, j)
+		return
+	}
 	ended := write.endedCount
 	if write.final {
 		j.advance(jobRecorded, j.outcome)
--- a/internal/scheduler/task_lifecycle_test.go
+++ b/internal/scheduler/task_lifecycle_test.go
@@ -282,3 +282,26 @@
 		})
 	}
 }
+
+// Guards against a panic when the answer to a batch of completions arrives after the watch has shown the cancellation.
+func TestCancellationDuringCompletionWriteDoesNotPanic(t *testing.T) {
+	runScenario(t, func(cluster *testCluster) {
+		n := cluster.start("host-0")
+		cluster.advance(3 * time.Second)
+		cluster.submit(n, newSpec("wk-1", job.Array, 2, 1))
+		cluster.advance(4 * time.Second)
+		cluster.txnAnswerDelay = 2 * time.Second
+		for _, machine := range cluster.machines {
+			cluster.workers.EndTask(machine, "wk-1/0", worker.CauseDone)
+		}
+		for accepted := cluster.recordRevision("wk-1"); cluster.recordRevision("wk-1") == accepted; {
+			time.Sleep(100 * time.Millisecond)
+			cluster.advance(time.Second)
+		}
+		cluster.cancel("wk-1")
+		cluster.advance(15 * time.Second)
+		if n := cluster.countTasks(); n != 0 {
+			t.Errorf("got %d tasks on machines after the cancellation, want 0", n)
+		}
+	})
+}
