Typed proofs that a task is gone, one right to act, and checks at run time

Now an owner removes a task only through machine.Machine.removeGone with a GoneProof whose condition is checked, a scheduler only through onTaskLost with a goneProof, and clusteragent.Agent.denial alone decides whether a controller may answer, command or start. Clocks for these rights are read under the lock: a process that waited for it could send a command after its lease grace period. A commit checks once more that the job shard may be placed.

A violated condition is logged at error level with task, attempt, machine, revisions and token, counted in the status (invariant_violations_here) and leads to the safe choice. Tests of scheduler, clusteragent and whole controllers fail when one occurs; planted violations are found: TestRefutedProofKeepsTask, TestTaskIsKeptWithoutProof, TestInvariantCheckerFindsInjectedViolations.

Logs that would have told, each with the identifiers to join them: task start sent, task attempt gone, worker lease expired, state mirror loaded; task finished on machine has the proof, revision, token and worker epoch.

--- a/internal/clusteragent/capacity_index_test.go
+++ b/internal/clusteragent/capacity_index_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"robinstack/internal/agentapi"
 	"robinstack/internal/cloud"
 	"robinstack/internal/job"
 	"robinstack/internal/machine"
@@ -32,16 +33,18 @@
 			case 0:
 				a.removeMachine(m)
 			case 1:
-				m.AddTask(machine.AttemptKey{TaskID: "unknown", Attempt: uint64(n)}, &machine.Task{})
+				key := machine.AttemptKey{TaskID: "unknown", Attempt: uint64(n)}
+				m.AddTask(key, machine.NewReserved(key, agentapi.TaskRef{}, "", nil, time.Time{}))
 			case 2, 3, 4:
 				for k := range m.Tasks() {
-					m.RemoveTask(k, time.Now())
+					m.WithdrawReserved(k, time.Now())
 					break
 				}
 			default:
 				need := job.Resources{GPUs: float64(rapid.IntRange(0, 4).Draw(t, "gpus"))}
 				key := machine.AttemptKey{TaskID: "known", Attempt: uint64(n)}
-				m.AddTask(key, &machine.Task{Spec: &job.Spec{Need: need}})
+				spec := &job.Spec{Need: need}
+				m.AddTask(key, machine.NewReserved(key, agentapi.TaskRef{}, "", spec, time.Time{}))
 			}
 			neededGPUs := rapid.IntRange(0, 8).Draw(t, "wanted")
 			drawn := map[string]bool{}
--- a/internal/clusteragent/commands.go
+++ b/internal/clusteragent/commands.go
@@ -42,6 +42,7 @@
 
 // commandBatch is a message with commands that is about to be sent to a worker.
 type commandBatch struct {
+	sentAt     time.Time
 	address    string
 	token      uint64
 	epoch      uint64
@@ -53,8 +54,7 @@
 // sendDueCommands sends the due commands and applies the machine state in the reply. It reports
 // whether more commands are to be sent at once.
 func (a *Agent) sendDueCommands(ctx context.Context, m *ownedMachine) bool {
-	now := time.Now()
-	batch, due := a.nextCommands(m, now)
+	batch, due := a.nextCommands(m)
 	if !due {
 		return false
 	}
@@ -71,29 +71,30 @@
 		return false
 	}
 	if err != nil {
-		a.handleCommandFailure(m, &batch, now, err)
+		a.handleCommandFailure(m, &batch, err)
 		return false
 	}
 	return a.handleCommandReply(m, &batch, state, executed)
 }
 
-// nextCommands returns the commands that are due, if there are any and sending is allowed at now.
-// They count as sent.
-func (a *Agent) nextCommands(m *ownedMachine, now time.Time) (batch commandBatch, due bool) {
+// nextCommands returns the commands that are due, if there are any and this controller may send them
+// now. They count as sent.
+func (a *Agent) nextCommands(m *ownedMachine) (batch commandBatch, due bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !m.Operational() || !a.owns(m) || now.Before(m.retryAt) || !a.withinLeaseGrace(now) {
-		return batch, false
-	}
-	if !m.CommandDue(now) {
+	// Read the clock only with a.mu held: a process short of CPU time may wait for the mutex until
+	// after the end of the lease grace period.
+	now := time.Now()
+	if a.denial(m, sendCommands, now) != "" || now.Before(m.retryAt) || !m.CommandDue(now) {
 		return batch, false
 	}
 	commands := m.DirectCommands(now)
 	if len(commands) == 0 && !m.Ownership.Unfenced() {
 		return batch, false
 	}
+	a.logStarts(m, commands, now)
 	batch = commandBatch{
-		address: m.Address, token: m.Ownership.Token(), epoch: max(m.Liveness.Epoch(), 1),
+		sentAt: now, address: m.Address, token: m.Ownership.Token(), epoch: max(m.Liveness.Epoch(), 1),
 		commands: commands, retryDelay: commandRetryDelay,
 	}
 	if !m.Ownership.Reconciled() {
@@ -105,13 +106,25 @@
 	return batch, true
 }
 
+// logStarts logs under which right the starts among the commands are sent: ownership revision, fencing
+// token and worker epoch, and how old the view of the state service is. The caller must hold a.mu.
+func (a *Agent) logStarts(m *ownedMachine, commands []worker.Command, now time.Time) {
+	for i := range commands {
+		if c := &commands[i]; c.Op == worker.OpStart {
+			slog.Info("task start sent", "task", c.Task, "attempt", c.Attempt, "machine", m.Name,
+				"revision", m.Ownership.Rev, "token", m.Ownership.Token(), "epoch", m.Liveness.Epoch(),
+				"state_revision", a.mirror.Rev(), "state_age", now.Sub(a.mirror.FreshAsOf()).Round(time.Millisecond))
+		}
+	}
+}
+
 // handleCommandFailure records that a message got no reply. The message may still arrive; raising
 // the token makes it harmless as soon as a heartbeat shows the raised token. The caller must hold
 // a.mu.
-func (a *Agent) handleCommandFailure(m *ownedMachine, batch *commandBatch, sent time.Time, err error) {
-	slog.Debug("command outcome unknown", "machine", m.Name, "err", err)
-	lostBefore := m.Liveness.CommandsLost(sent)
-	m.HandleUnansweredCommand(batch.token, sent)
+func (a *Agent) handleCommandFailure(m *ownedMachine, batch *commandBatch, err error) {
+	slog.Debug("command outcome unknown", "machine", m.Name, "token", batch.token, "err", err)
+	lostBefore := m.Liveness.CommandsLost(batch.sentAt)
+	m.HandleUnansweredCommand(batch.token, batch.sentAt)
 	if !lostBefore && m.Liveness.CommandsLost(time.Now()) && !m.Liveness.Unresponsive() {
 		slog.Info("machine commands undeliverable",
 			"machine", m.Name, "failed_commands", m.Liveness.UnansweredCommands())
--- a/internal/clusteragent/commit.go
+++ b/internal/clusteragent/commit.go
@@ -39,9 +39,9 @@
 func (a *Agent) reserveAndStart(
 	r *agentapi.CommitRequest, reply *agentapi.CommitReply, starts []<-chan string,
 ) context.Context {
-	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := time.Now()
 	m := a.machines[r.Machine]
 	if reply.Why = a.commitConflict(m, r, now); reply.Why != "" {
 		a.counters.Conflicts++
@@ -76,11 +76,13 @@
 
 // commitConflict returns why no task of a commit can be started, or "". The caller must hold a.mu.
 func (a *Agent) commitConflict(m *ownedMachine, r *agentapi.CommitRequest, now time.Time) string {
-	switch {
-	case m == nil || m.Ownership.Rev != r.Rev:
+	if m == nil || m.Ownership.Rev != r.Rev {
 		return "machine is not owned by this controller under the requested revision"
-	case !a.session.HoldsLease():
-		return "owner's session lease may have ended"
+	}
+	if why := a.denial(m, startTasks, now); why != "" {
+		return why
+	}
+	switch {
 	case !a.isLatestEpoch(statekv.JobShardPrefix+r.Slot, r.Epoch):
 		return "scheduler epoch is older than the job shard's latest"
 	case a.settings.HasQuota(r.Spec.Team) && !a.isLatestEpoch(statekv.LeaderKey, r.StewardEpoch):
@@ -196,11 +198,8 @@
 	reply.Present = make([]bool, len(r.Refs))
 	for i, ref := range r.Refs {
 		key := machine.KeyOf(ref)
-		if t := m.Task(key); t != nil {
-			reply.Present[i] = t.State() != machine.Reserved
-			if !reply.Present[i] {
-				m.RemoveTask(key, time.Now())
-			}
+		if m.Task(key) != nil {
+			reply.Present[i] = !m.WithdrawReserved(key, time.Now())
 		}
 		if !reply.Present[i] {
 			a.abandoned[ref] = time.Now()
--- a/internal/clusteragent/heartbeat.go
+++ b/internal/clusteragent/heartbeat.go
@@ -117,7 +117,7 @@
 		a.verifyTasks(m)
 		// verifyTasks releases a.mu while it waits, so the preconditions have to be checked again.
 		now = time.Now()
-		if !a.owns(m) || !m.Operational() || !m.Liveness.IsLatestHeartbeat(r) || !a.withinLeaseGrace(now) {
+		if a.denial(m, answerHeartbeat, now) != "" || !m.Liveness.IsLatestHeartbeat(r) {
 			return HeartbeatReply{}, true
 		}
 	}
@@ -134,7 +134,7 @@
 func (a *Agent) rejectHeartbeat(
 	m *ownedMachine, r *worker.Heartbeat, now time.Time,
 ) (reply HeartbeatReply, rejected bool) {
-	if !m.Operational() {
+	if a.machineDenial(m, answerHeartbeat) != "" {
 		return HeartbeatReply{}, true
 	}
 	if why := m.MalformedReason(r); why != "" {
@@ -156,7 +156,7 @@
 		a.release(m)
 		return HeartbeatReply{RedirectTo: a.ownerHostOf(r.Machine)}, true
 	}
-	if !a.withinLeaseGrace(now) {
+	if a.controllerDenial(answerHeartbeat, now) != "" {
 		return HeartbeatReply{}, true
 	}
 	if !a.stillOwned(m) {
--- a/internal/clusteragent/inspect.go
+++ b/internal/clusteragent/inspect.go
@@ -53,12 +53,11 @@
 		return // deleted; only its key is left
 	}
 	changed := m.CheckLiveness(now, a.livenessTimeouts())
-	expired := m.WorkerLeaseExpired(now, a.settings.WorkerLeaseExpiry())
 	a.recheckExited(m, now)
 	if m.RemoveExpiredReservations(now) {
 		changed = true
 	}
-	if expired && m.HandleLeaseExpiry(time.Now()) {
+	if m.ExpireLease(now, a.settings.WorkerLeaseExpiry()) {
 		changed = true
 	}
 	if changed {
--- a/internal/clusteragent/reserve.go
+++ b/internal/clusteragent/reserve.go
@@ -10,9 +10,9 @@
 // reservableMachine returns the machine that a scheduler wants to reserve, or nil if this
 // controller does not own it under the requested revision, is not certain of its lease, or the
 // scheduler's epoch is outdated. The caller must hold a.mu.
-func (a *Agent) reservableMachine(r *agentapi.CommitRequest) *ownedMachine {
+func (a *Agent) reservableMachine(r *agentapi.CommitRequest, now time.Time) *ownedMachine {
 	m := a.machines[r.Machine]
-	if m == nil || m.Ownership.Rev != r.Rev || !a.session.HoldsLease() {
+	if m == nil || m.Ownership.Rev != r.Rev || a.denial(m, startTasks, now) != "" {
 		return nil
 	}
 	if !a.isLatestEpoch(statekv.JobShardPrefix+r.Slot, r.Epoch) {
@@ -27,11 +27,11 @@
 	r *agentapi.CommitRequest, reply *agentapi.CommitReply,
 	prepare func(m *ownedMachine, now time.Time) (hold time.Duration, ok bool),
 ) {
-	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := time.Now()
 	reply.Verdicts = []string{agentapi.Refused}
-	m := a.reservableMachine(r)
+	m := a.reservableMachine(r, now)
 	if m == nil {
 		return
 	}
--- a/internal/clusteragent/sample.go
+++ b/internal/clusteragent/sample.go
@@ -19,9 +19,10 @@
 	if why := m.UnavailableReason(now); why != "" {
 		return why
 	}
+	if why := a.machineDenial(m, startTasks); why != "" {
+		return why
+	}
 	switch {
-	case m.Ownership.Rev > a.mirror.Rev():
-		return "mirror has not reached the machine's ownership revision"
 	case !r.Spec.AllowsMachine(m.Type, m.Zone, m.Spot):
 		return "machine is not allowed for the job"
 	case r.Zones != nil && !slices.Contains(r.Zones, m.Zone):
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -13,6 +13,7 @@
 	"robinstack/internal/autoscaler"
 	"robinstack/internal/clusteragent"
 	"robinstack/internal/config"
+	"robinstack/internal/invariant"
 	"robinstack/internal/job"
 	"robinstack/internal/peer"
 	"robinstack/internal/rollout"
@@ -40,6 +41,7 @@
 	RejectedQueries     int64                    `json:"queries_refused_here"`
 	ProcessPauses       int                      `json:"pauses_here"`
 	LongestPauseS       float64                  `json:"longest_pause_s"`
+	InvariantViolations int64                    `json:"invariant_violations_here"` // since the start of the process
 
 	// RecoverySeconds has the recovery steps that were reached, in seconds since the start of the
 	// process or since the last loss of the lease.
@@ -219,4 +221,5 @@
 	s.RejectedQueries = g.rejectedQueries.Load()
 	count, longest := g.processPauses()
 	s.ProcessPauses, s.LongestPauseS = count, longest.Seconds()
+	s.InvariantViolations = invariant.Violations()
 }
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -30,6 +30,8 @@
 	// TaskFinished: a task left its machine or its owner lost the machine; the line has the time of
 	// each phase.
 	TaskFinished = "task finished on machine"
+	// InvariantViolated: a condition that the code relies on does not hold.
+	InvariantViolated = "invariant violated"
 	// MachineTypePrice: the price and capacity of a machine type.
 	MachineTypePrice = "machine type price"
 	// ScaledOut: the cloud granted machines.
--- a/internal/logline/renames.go
+++ b/internal/logline/renames.go
@@ -23,6 +23,15 @@
 	{Old: "telling an owner of a cancellation", New: "cancellation delivery to machine owner failed"},
 	{Old: "asking for late boots", New: "overdue provisioning query failed"},
 
+	// machine, clusteragent, scheduler, statekv: no former message
+	{Old: "state mirror loaded", New: "state mirror loaded"},
+	{Old: "worker lease expired", New: "worker lease expired"},
+	{Old: "task start sent", New: "task start sent"},
+	{Old: "task attempt gone", New: "task attempt gone"},
+
+	// invariant
+	{Old: "invariant violated", New: InvariantViolated},
+
 	// scheduler
 	{Old: "job fails on every machine", New: "job failing on all machines"},
 	{Old: "job is well after all", New: "job failure cleared"},
--- /dev/null
+++ b/internal/machine/gone_test.go
@@ -0,0 +1,54 @@
+package machine
+
+import (
+	"testing"
+	"time"
+
+	"robinstack/internal/invariant"
+	"robinstack/internal/job"
+	"robinstack/internal/worker"
+)
+
+// Guards against a task that is removed, and so started again elsewhere, on a proof whose condition does not hold.
+func TestRefutedProofKeepsTask(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		delivery startDelivery
+		proof    GoneProof
+		removed  bool
+	}{
+		"not sent, but it was": {startSent, NotSent, false},
+		"not sent":             {startUnsent, NotSent, true},
+		"not executable, but the worker listed it": {startListed, NotExecutable, false},
+		"not executable":                          {startSent, NotExecutable, true},
+		"no longer listed, but it never was":      {startSent, NotListed, false},
+		"no longer listed":                        {startListed, NotListed, true},
+		"later worker epoch, but start not sent":  {startUnsent, LaterWorkerEpoch, false},
+		"later worker epoch":                      {startSent, LaterWorkerEpoch, true},
+		"machine deleted, but it is still in use": {startListed, MachineDeleted, false},
+	} {
+		m := New(Identity{Name: "m1"}, 1, 1, now)
+		key := AttemptKey{"wk-1/0", 1}
+		m.AddTask(key, &Task{ID: key.TaskID, Spec: &job.Spec{}, state: Running, start: startCommand{delivery: c.delivery}})
+		if removed := m.removeGone(key, c.proof, now); removed != c.removed || (m.Task(key) == nil) != c.removed {
+			t.Errorf("%s: got removed %t, want %t", name, removed, c.removed)
+		}
+		if violations := invariant.Reset(); (violations == 0) != c.removed {
+			t.Errorf("%s: got %d violations", name, violations)
+		}
+	}
+}
+
+// Guards against giving up the tasks of a worker whose lease may still run.
+func TestLeaseExpiryNeedsTimeSinceLastPossibleRenewal(t *testing.T) {
+	now, expiry := time.Unix(1000, 0), 30*time.Second
+	m := New(Identity{Name: "m1"}, 1, 1, now)
+	m.Apply(&worker.Heartbeat{WorkerEpoch: 1, Sequence: 1, Tasks: []worker.Task{{ID: "wk-1/0", Attempt: 1, State: worker.TaskRunning}}}, now, 0)
+	m.Ownership.RecordTakeover(now.Add(20 * time.Second))
+	if m.ExpireLease(now.Add(50*time.Second), expiry) {
+		t.Error("expired while the earlier owner's last answer may be 30 s ago")
+	}
+	if !m.ExpireLease(now.Add(50*time.Second+time.Millisecond), expiry) || len(m.tasks) != 0 {
+		t.Errorf("got %d tasks after the lease expired, want none", len(m.tasks))
+	}
+}
--- a/internal/machine/heartbeat.go
+++ b/internal/machine/heartbeat.go
@@ -39,8 +39,7 @@
 		// commands for the earlier epoch from now on.
 		for key, t := range m.tasks {
 			if t.start.delivery != startUnsent {
-				t.Resolve(agentapi.Refused)
-				m.RemoveTask(key, now)
+				m.removeGone(key, LaterWorkerEpoch, now)
 			}
 		}
 	}
@@ -104,12 +103,13 @@
 	r *worker.Heartbeat, listed map[AttemptKey]bool, now time.Time, executedToken uint64,
 ) (changed bool) {
 	for key, t := range m.tasks {
-		if listed[key] || !t.listed() && !t.provenNeverStarted(r.FencingToken, executedToken) {
-			continue
+		switch {
+		case listed[key]:
+		case t.listed():
+			changed = m.removeGone(key, NotListed, now) || changed
+		case t.provenNeverStarted(r.FencingToken, executedToken):
+			changed = m.removeGone(key, NotExecutable, now) || changed
 		}
-		t.Resolve(agentapi.Refused)
-		m.RemoveTask(key, now)
-		changed = true
 	}
 	return changed
 }
@@ -140,7 +140,7 @@
 	case Exited:
 		if t.exitedAt.IsZero() {
 			t.exitedAt = now
-			m.logFinished(t, now, t.cause)
+			m.logFinished(t, now, t.cause, "")
 		}
 		if refusedByWorker(t.cause) {
 			// The task never ran, so its end needs no record and the worker may forget it at once.
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -9,6 +9,7 @@
 package machine
 
 import (
+	"log/slog"
 	"time"
 
 	"robinstack/internal/agentapi"
@@ -85,9 +86,8 @@
 func (m *Machine) Delete(now time.Time) {
 	m.lifecycle = m.lifecycle.next(deleted)
 	m.Ownership.reconciled = true
-	for key, t := range m.tasks {
-		t.Resolve(agentapi.Refused)
-		m.RemoveTask(key, now)
+	for key := range m.tasks {
+		m.removeGone(key, MachineDeleted, now)
 	}
 }
 
@@ -121,25 +121,27 @@
 	return ""
 }
 
-// WorkerLeaseExpired reports whether the worker's last possible lease renewal is longer than
+// workerLeaseExpired reports whether the worker's last possible lease renewal is longer than
 // leaseExpiry ago, so that the worker has killed all its tasks.
-func (m *Machine) WorkerLeaseExpired(now time.Time, leaseExpiry time.Duration) bool {
+func (m *Machine) workerLeaseExpired(now time.Time, leaseExpiry time.Duration) bool {
 	return now.Sub(m.Ownership.lastPossibleRenewal) > leaseExpiry
 }
 
-// HandleLeaseExpiry removes all tasks after the expiry of the worker lease, and reports whether
-// anything changed. Commands that are still in flight cannot take effect any more, because the
-// worker is in a later epoch.
-func (m *Machine) HandleLeaseExpiry(now time.Time) (changed bool) {
-	for key, t := range m.tasks {
-		t.Resolve(agentapi.Refused)
-		m.RemoveTask(key, now)
-		changed = true
+// ExpireLease removes all tasks if the worker's last possible lease renewal is longer than
+// leaseExpiry ago, and reports whether anything changed. Commands that are still in flight cannot
+// take effect any more, because the worker is in a later epoch.
+func (m *Machine) ExpireLease(now time.Time, leaseExpiry time.Duration) (changed bool) {
+	if !m.workerLeaseExpired(now, leaseExpiry) || len(m.tasks) == 0 && m.Ownership.reconciled {
+		return false
 	}
-	if !m.Ownership.reconciled {
-		m.Ownership.reconciled, changed = true, true
+	slog.Info("worker lease expired", "machine", m.Name, "tasks", len(m.tasks), "reconciled", m.Ownership.reconciled,
+		"revision", m.Ownership.Rev, "epoch", m.Liveness.Epoch(),
+		"last_renewal_s", seconds(now.Sub(m.Ownership.lastPossibleRenewal)))
+	for key := range m.tasks {
+		m.removeGone(key, LeaseExpired, now)
 	}
-	return changed
+	m.Ownership.reconciled = true
+	return true
 }
 
 // EndOwnership ends the ownership, because another owner takes over: it resolves the commits that
@@ -148,7 +150,7 @@
 	for _, t := range m.tasks {
 		t.Resolve(agentapi.Unresolved)
 		if t.listed() && t.state != Exited {
-			m.logFinished(t, now, "handed over")
+			m.logFinished(t, now, "handed over", "")
 		}
 	}
 }
--- a/internal/machine/tasks.go
+++ b/internal/machine/tasks.go
@@ -4,8 +4,6 @@
 	"iter"
 	"maps"
 	"time"
-
-	"robinstack/internal/agentapi"
 )
 
 // Tasks iterates over the tasks, in no particular order. Tasks may be removed during the iteration.
@@ -20,24 +18,12 @@
 	m.invalidateUsage()
 }
 
-// RemoveTask removes a task from the machine. A task that has been listed and has not exited is
-// logged as lost.
-func (m *Machine) RemoveTask(key AttemptKey, now time.Time) {
-	if t := m.tasks[key]; t != nil && t.listed() && t.state != Exited {
-		m.logFinished(t, now, "lost")
-	}
-	delete(m.tasks, key)
-	m.invalidateUsage()
-}
-
 // RemoveExpiredReservations removes the tasks whose reservation has expired before they were
 // started, and reports whether there were any.
 func (m *Machine) RemoveExpiredReservations(now time.Time) (changed bool) {
 	for key, t := range m.tasks {
 		if t.ReservationExpired(now) {
-			t.Resolve(agentapi.Refused)
-			m.RemoveTask(key, now)
-			changed = true
+			changed = m.removeGone(key, NotSent, now) || changed
 		}
 	}
 	return changed
@@ -60,9 +46,13 @@
 	if t == nil || t.state != Reserved && !t.StartNotSent() {
 		return false
 	}
-	t.Resolve(agentapi.Refused)
-	m.RemoveTask(key, now)
-	return true
+	return m.removeGone(key, NotSent, now)
+}
+
+// WithdrawReserved removes a task for which capacity is only reserved, and reports whether it did.
+func (m *Machine) WithdrawReserved(key AttemptKey, now time.Time) bool {
+	t := m.tasks[key]
+	return t != nil && t.state == Reserved && m.removeGone(key, NotSent, now)
 }
 
 // Cancel withdraws a task of a cancelled job if no command for it has been sent, and otherwise
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -86,7 +86,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	shard := s.shards[j.shardID]
-	if shard == nil || j.isFinished() {
+	if shard == nil || j.isFinished() || !s.canPlace(j) {
 		return nil
 	}
 	s.counters.Placements++
--- a/internal/scheduler/commit_resolution.go
+++ b/internal/scheduler/commit_resolution.go
@@ -87,6 +87,6 @@
 			continue
 		}
 		s.queueRelease(j, ref)
-		s.onTaskLost(j, ref.Index)
+		s.onTaskLost(j, ref.Index, startAbandoned)
 	}
 }
--- /dev/null
+++ b/internal/scheduler/gone_test.go
@@ -0,0 +1,30 @@
+package scheduler
+
+import (
+	"testing"
+
+	"robinstack/internal/agentapi"
+	"robinstack/internal/invariant"
+	"robinstack/internal/job"
+)
+
+// Guards against a task that is given up, and so started again elsewhere, without a proof that it is gone.
+func TestTaskIsKeptWithoutProof(t *testing.T) {
+	s := &Scheduler{placedOn: map[string]map[agentapi.TaskRef]bool{}, wakeUp: make(chan struct{}, 1)}
+	j := &jobState{spec: &job.Spec{ID: "wk-1", Shape: job.Array, Tasks: 2}, tasks: make([]taskState, 2)}
+	j.tasks[0].beginAttempt(7, "a")
+	j.tasks[0].markPlaced("m1", "a", 3, 1)
+	s.onTaskLost(j, 0, "")
+	if j.tasks[0].status != taskPlaced || invariant.Reset() != 1 {
+		t.Errorf("without a proof: got status %d, want the task kept and one violation", j.tasks[0].status)
+	}
+	j.tasks[1].beginAttempt(8, "a")
+	s.onTaskLost(j, 1, startAbandoned)
+	if j.tasks[1].status != taskCommitting || invariant.Reset() != 1 {
+		t.Errorf("while its commit is in progress: got status %d, want the task kept and one violation", j.tasks[1].status)
+	}
+	s.onTaskLost(j, 0, unlistedByOwner)
+	if j.tasks[0].status != taskPending || invariant.Reset() != 0 {
+		t.Errorf("with a proof: got status %d, want the task pending and no violation", j.tasks[0].status)
+	}
+}
--- a/internal/scheduler/machine_entries.go
+++ b/internal/scheduler/machine_entries.go
@@ -56,8 +56,8 @@
 			delete(placed, ref)
 			continue
 		}
-		if task.provenGone(entry) {
-			s.onTaskLost(j, ref.Index)
+		if proof := task.provenGone(entry); proof != "" {
+			s.onTaskLost(j, ref.Index, proof)
 		}
 	}
 }
@@ -73,6 +73,9 @@
 	pending := task.status == taskPending
 	if pending && ended || !pending && task.attempt != listed.Attempt {
 		// The attempt was given up as lost, but it was started after all.
+		if !ended {
+			s.checkSecondAttempt(entry, listed, task)
+		}
 		s.queueForget(item)
 		return
 	}
@@ -143,7 +146,7 @@
 			}
 			task := &j.tasks[ref.Index]
 			if task.isPlacedAttempt(ref.Attempt) && task.machine == machine && revision > task.ownerRev {
-				s.onTaskLost(j, ref.Index)
+				s.onTaskLost(j, ref.Index, machineKeyRemoved)
 			}
 		}
 	}
--- a/internal/scheduler/random_faults_test.go
+++ b/internal/scheduler/random_faults_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"robinstack/emulator"
+	"robinstack/internal/invariant"
 	"robinstack/internal/job"
 	"robinstack/internal/statekv"
 	"robinstack/internal/tombstone"
@@ -259,7 +260,7 @@
 // The invariant checker must find a tombstone that says done too early, a task that runs twice, a
 // lost job, and a job that was cancelled without a cause.
 func TestInvariantCheckerFindsInjectedViolations(t *testing.T) {
-	for invariant, inject := range map[string]func(checker *invariantChecker) bool{
+	for rule, inject := range map[string]func(checker *invariantChecker) bool{
 		"too_early": func(checker *invariantChecker) bool {
 			for id, spec := range checker.jobs {
 				for _, dependency := range spec.WaitsOn {
@@ -308,7 +309,7 @@
 			return false
 		},
 	} {
-		t.Run(invariant, func(t *testing.T) {
+		t.Run(rule, func(t *testing.T) {
 			runScenario(t, func(cluster *testCluster) {
 				steps, injected := 0, false
 				checker := runRandomFaults(cluster, 3, func(checker *invariantChecker) {
@@ -316,7 +317,10 @@
 						injected = inject(checker)
 					}
 				})
-				ofInvariant := func(violation string) bool { return strings.HasPrefix(violation, invariant) }
+				ofInvariant := func(violation string) bool { return strings.HasPrefix(violation, rule) }
+				if n := invariant.Reset(); rule == "ran_twice" && n == 0 {
+					t.Error("the scheduler has not noticed the second attempt of a task")
+				}
 				if !injected || !slices.ContainsFunc(checker.violations, ofInvariant) {
 					t.Errorf("injected %v, found %v", injected, checker.violations[:min(4, len(checker.violations))])
 				}
--- a/internal/scheduler/task_results.go
+++ b/internal/scheduler/task_results.go
@@ -57,19 +57,7 @@
 	if cause == worker.CauseFailed {
 		s.onTaskFailed(j, machine)
 	}
-	s.onTaskLost(j, index)
-}
-
-// onTaskLost returns a task that is proven gone from its machine to pending. The other tasks of a
-// gang are stopped. The caller must hold s.mu.
-func (s *Scheduler) onTaskLost(j *jobState, index int) {
-	s.counters.Lost++
-	s.resetTask(j, index)
-	if j.isGang() && !j.isFinished() {
-		s.stopAllTasks(j, 0)
-	}
-	s.dropIfGone(j.spec.ID, j)
-	s.wake()
+	s.onTaskLost(j, index, attemptExited)
 }
 
 // queueForgetEnded queues messages to the machines' owners that the first count ended attempts
--- a/internal/scheduler/task_state.go
+++ b/internal/scheduler/task_state.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"robinstack/internal/agentapi"
 )
 
 // taskStatus is the state of an unfinished task as the scheduler sees it.
@@ -84,18 +82,3 @@
 func (t *taskState) isCommitting(attempt uint64) bool {
 	return t.status == taskCommitting && t.attempt == attempt
 }
-
-// provenGone reports whether a machine entry that does not list the attempt proves that the attempt
-// is not on the machine. Reconciled entries of a later owner prove it. So do reconciled entries of
-// the owner to which the attempt was committed, from the version of the commit on, unless the
-// commit is unresolved. An unreconciled entry proves nothing, because its owner does not know yet
-// what runs on the machine. An entry that says that the machine is deregistered proves it if it is
-// from the owner to which the attempt was committed or from a later owner.
-func (t *taskState) provenGone(entry *agentapi.MachineEntry) bool {
-	laterOwner := entry.Rev > t.ownerRev
-	sameOwnerLater := entry.Rev == t.ownerRev && t.entryVersion != unresolved && entry.Ver >= t.entryVersion
-	if entry.Gone && entry.Rev >= t.ownerRev {
-		return true
-	}
-	return entry.Reconciled() && (laterOwner || sameOwnerLater)
-}
--- a/internal/scheduler/task_state_test.go
+++ b/internal/scheduler/task_state_test.go
@@ -49,7 +49,7 @@
 		"unanswered commit, same owner":    {unanswered, agentapi.MachineEntry{Rev: 5, Ver: 99, Settled: true}, false},
 		"unanswered commit, later owner":   {unanswered, agentapi.MachineEntry{Rev: 6, Settled: true}, true},
 	} {
-		if got := c.task.provenGone(&c.entry); got != c.want {
+		if got := c.task.provenGone(&c.entry) != ""; got != c.want {
 			t.Errorf("%s: got %v, want %v", name, got, c.want)
 		}
 	}
--- a/internal/statekv/mirrorwatch.go
+++ b/internal/statekv/mirrorwatch.go
@@ -31,6 +31,7 @@
 	defer m.mu.Unlock()
 	m.freshAsOf, m.loaded = sent, true
 	m.advance(rev)
+	slog.Info("state mirror loaded", "state_revision", rev, "elapsed", time.Since(sent).Round(time.Millisecond))
 	return nil
 }
 
--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -1,12 +1,14 @@
 package integration
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"os"
 	"testing"
 
 	"robinstack/emulator"
+	"robinstack/internal/invariant"
 )
 
 func TestMain(m *testing.M) {
@@ -14,5 +16,10 @@
 	if os.Getenv("LOG_LEVEL") == "" {
 		slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	if n := invariant.Violations(); n > 0 {
+		fmt.Fprintf(os.Stderr, "%d invariants were violated; LOG_LEVEL=error shows them\n", n)
+		code = 1
+	}
+	os.Exit(code)
 }
