Emulator, dev cluster and scale run: what a randomized fault test on real processes needs

Workers over loopback honour lost and delayed direct commands as they do in fake time, and leases that are due expire before a start is judged, however busy the host is. The history has its events with their times. scaletest exports its users, the deployment of a profile and its machine types.

The proof that a task is gone is in a line of its own (task gone from machine): task finished on machine, which audit reads, keeps its recorded form.

--- a/emulator/history.go
+++ b/emulator/history.go
@@ -25,6 +25,8 @@
 	violations    []string
 	trace         []traceEntry
 
+	firstViolationAt time.Time // zero: none
+
 	starts                 int
 	restarts               int // starts of tasks that had started before
 	startsAfterCancel      int // starts of tasks whose jobs had been acknowledged as cancelled
@@ -94,6 +96,9 @@
 
 // recordViolation records that a rule was violated. The caller must hold h.mu.
 func (h *History) recordViolation(rule, format string, args ...any) {
+	if h.firstViolationAt.IsZero() {
+		h.firstViolationAt = time.Now()
+	}
 	h.violations = append(h.violations, fmt.Sprintf(
 		"%s at %.1f s: %s", rule, time.Since(h.startTime).Seconds(), fmt.Sprintf(format, args...)))
 }
--- a/emulator/history_report.go
+++ b/emulator/history_report.go
@@ -35,6 +35,53 @@
 	h.traceEvent("", format, args...)
 }
 
+// TraceEvent is one event of the trace.
+type TraceEvent struct {
+	At   time.Time
+	Text string
+}
+
+// TraceEvents lists all recorded events in order.
+func (h *History) TraceEvents() (out []TraceEvent) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, entry := range h.trace {
+		out = append(out, TraceEvent{h.startTime.Add(entry.elapsed), strings.TrimSpace(entry.job + " " + entry.event)})
+	}
+	return out
+}
+
+// FirstViolationAt returns the time of the first recorded violation, or the zero time.
+func (h *History) FirstViolationAt() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.firstViolationAt
+}
+
+// AllFinal reports whether every accepted job has been reported as done or cancelled.
+func (h *History) AllFinal() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, j := range h.jobs {
+		if j.accepted && !j.isFinal() {
+			return false
+		}
+	}
+	return true
+}
+
+// CancelledJobs returns the number of jobs that were acknowledged as cancelled.
+func (h *History) CancelledJobs() (n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, j := range h.jobs {
+		if j.isCancelled() {
+			n++
+		}
+	}
+	return n
+}
+
 // Trace lists in order the injected faults and the events of each job named in a violation: enough
 // to reproduce a failure in a test.
 func (h *History) Trace() (out []string) {
--- a/emulator/loopbacknetwork.go
+++ b/emulator/loopbacknetwork.go
@@ -201,6 +201,10 @@
 		ctx.SetStatusCode(http.StatusBadRequest)
 		return
 	}
+	if !m.receivesCommands() {
+		ctx.SetStatusCode(http.StatusServiceUnavailable)
+		return
+	}
 	heartbeat, executed, ok := m.execute(*request.Token, *request.Epoch, request.Commands)
 	switch {
 	case !ok:
@@ -212,6 +216,19 @@
 	}
 }
 
+// receivesCommands delays a request with direct commands by CommandDelay, and reports whether it
+// reaches the worker. A lost request gets no response within the client's time-out.
+func (m *SimulatedMachine) receivesCommands() bool {
+	m.cloud.mu.Lock()
+	lost, delay := m.InboundLost || m.CommandsLost, m.CommandDelay
+	m.cloud.mu.Unlock()
+	if lost {
+		sleep(m.ctx, 2*clientTimeout)
+		return false
+	}
+	return delay == 0 || sleep(m.ctx, delay)
+}
+
 func respondHeartbeat(ctx *fasthttp.RequestCtx, status int, h worker.Heartbeat) {
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("application/json")
--- a/emulator/simulatedtask.go
+++ b/emulator/simulatedtask.go
@@ -223,7 +223,7 @@
 	if observe := m.cloud.timing.OnWorkerStep; observe != nil {
 		observe(time.Since(due))
 	}
-	if time.Since(m.renewedAt) > m.cloud.settings.Workers.LeaseDuration {
+	if m.leaseDue() {
 		m.expireLease()
 	}
 	if m.Hung {
@@ -234,6 +234,24 @@
 	}
 }
 
+// expireDueLeases expires, in real time, all leases that are due. Workers do this by themselves at each
+// step, but a step may be late on a busy host. The caller must hold c.mu.
+func (c *SimulatedCloud) expireDueLeases() {
+	if c.network == nil {
+		return
+	}
+	for _, m := range c.machines {
+		if m.IsUp() && m.leaseDue() {
+			m.expireLease()
+		}
+	}
+}
+
+// leaseDue reports whether the worker's lease has expired.
+func (m *SimulatedMachine) leaseDue() bool {
+	return time.Since(m.renewedAt) > m.cloud.settings.Workers.LeaseDuration
+}
+
 // expireLease begins a new worker epoch and ends all tasks: once its lease has expired, the machine
 // no longer has an owner.
 func (m *SimulatedMachine) expireLease() {
--- a/emulator/taskstates.go
+++ b/emulator/taskstates.go
@@ -59,6 +59,7 @@
 		m.endTask(task, worker.CauseDone)
 		return
 	}
+	m.cloud.expireDueLeases()
 	history.RecordTaskStart(TaskStart{Task: task.ID, Machine: m.name, MachineType: m.machineType.Name, Zone: m.zone})
 	task.recordedOnMachine = true
 	gang := m.cloud.gangs[task.jobAttemptKey]
--- a/internal/logline/renames.go
+++ b/internal/logline/renames.go
@@ -26,6 +26,7 @@
 	// machine, clusteragent, scheduler, statekv: no former message
 	{Old: "state mirror loaded", New: "state mirror loaded"},
 	{Old: "worker lease expired", New: "worker lease expired"},
+	{Old: "task gone from machine", New: "task gone from machine"},
 	{Old: "task start sent", New: "task start sent"},
 	{Old: "task attempt gone", New: "task attempt gone"},
 
--- a/internal/machine/gone.go
+++ b/internal/machine/gone.go
@@ -1,6 +1,7 @@
 package machine
 
 import (
+	"log/slog"
 	"time"
 
 	"robinstack/internal/agentapi"
@@ -41,8 +42,13 @@
 		return false
 	}
 	t.Resolve(agentapi.Refused)
+	if t.state != Exited && proof != NotSent {
+		slog.Info("task gone from machine", "task", t.ID, "attempt", t.Ref.Attempt, "machine", m.Name,
+			"proof", string(proof), "revision", m.Ownership.Rev, "token", m.Ownership.seenToken,
+			"epoch", m.Liveness.Epoch())
+	}
 	if t.listed() && t.state != Exited {
-		m.logFinished(t, now, "lost", proof)
+		m.logFinished(t, now, "lost")
 	}
 	delete(m.tasks, key)
 	m.invalidateUsage()
--- a/internal/machine/heartbeat.go
+++ b/internal/machine/heartbeat.go
@@ -140,7 +140,7 @@
 	case Exited:
 		if t.exitedAt.IsZero() {
 			t.exitedAt = now
-			m.logFinished(t, now, t.cause, "")
+			m.logFinished(t, now, t.cause)
 		}
 		if refusedByWorker(t.cause) {
 			// The task never ran, so its end needs no record and the worker may forget it at once.
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -150,7 +150,7 @@
 	for _, t := range m.tasks {
 		t.Resolve(agentapi.Unresolved)
 		if t.listed() && t.state != Exited {
-			m.logFinished(t, now, "handed over", "")
+			m.logFinished(t, now, "handed over")
 		}
 	}
 }
--- a/internal/machine/task.go
+++ b/internal/machine/task.go
@@ -295,8 +295,8 @@
 }
 
 // logFinished logs the task's times once it has exited, is gone, or is handed over to another
-// owner. proof is the evidence that it is gone, or "". The audit tool sums up these lines.
-func (m *Machine) logFinished(t *Task, now time.Time, cause string, proof GoneProof) {
+// owner. The audit tool sums up these lines.
+func (m *Machine) logFinished(t *Task, now time.Time, cause string) {
 	t.phases.add(t.state, now)
 	if t.Spec == nil || t.Spec.ID == "" {
 		return
@@ -306,8 +306,7 @@
 		"cause", cause, "checkpointed", t.checkpointed, "cpus", s.CPUs, "gpus", s.GPUs, "mem_gb", s.MemoryGB,
 		"fetch_s", seconds(spent[fetchPhase]), "gang_wait_s", seconds(spent[gangWaitPhase]),
 		"run_s", seconds(spent[runPhase]), "checkpoint_s", seconds(spent[checkpointPhase]),
-		"checkpoint_interval_s", s.CheckpointS, "proof", string(proof), "revision", m.Ownership.Rev,
-		"token", m.Ownership.seenToken, "epoch", m.Liveness.Epoch())
+		"checkpoint_interval_s", s.CheckpointS)
 }
 
 // seconds returns d in seconds, rounded down to milliseconds, for log attributes.
--- a/tools/devcluster/controllers.go
+++ b/tools/devcluster/controllers.go
@@ -1,6 +1,7 @@
 package devcluster
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -19,6 +20,11 @@
 type Node struct {
 	Host, Zone         string
 	Listen, PeerListen string // host:port for users and workers, and for other controllers
+
+	// Addresses by which this controller reaches others, where they differ from those in
+	// ControllersConfig: the state service, the cloud, and other controllers by host.
+	State, Cloud  string
+	PeerAddresses map[string]string
 }
 
 // ControllersConfig configures controllers: their settings files, programs and logs.
@@ -117,7 +123,7 @@
 	peers := []peer{}
 	for _, n := range c.config.Nodes {
 		if n.Host != own.Host {
-			peers = append(peers, peer{n.Host, n.Zone, n.PeerListen})
+			peers = append(peers, peer{n.Host, n.Zone, cmp.Or(own.PeerAddresses[n.Host], n.PeerListen)})
 		}
 	}
 	raw, err := json.MarshalIndent(map[string]any{
@@ -126,8 +132,10 @@
 		"listen":    own.Listen,
 		"peer_bind": own.PeerListen,
 		"peers":     peers,
-		"external":  map[string]string{"state": c.config.State, "cloud": c.config.Cloud},
-		"facts":     c.config.Deployment,
+		"external": map[string]string{
+			"state": cmp.Or(own.State, c.config.State), "cloud": cmp.Or(own.Cloud, c.config.Cloud),
+		},
+		"facts": c.config.Deployment,
 	}, "", "  ")
 	if err == nil {
 		err = os.WriteFile(c.SettingsFile(k), raw, privateFileMode)
--- a/tools/scaletest/deployment.go
+++ b/tools/scaletest/deployment.go
@@ -18,9 +18,9 @@
 // teamName returns the name of the team with index k.
 func teamName(k int) string { return fmt.Sprintf("team-%02d", k) }
 
-// deployment returns the part of the controllers' settings that describes the deployment, in the
+// Deployment returns the part of the controllers' settings that describes the deployment, in the
 // form of the settings file.
-func (p *Profile) deployment() any {
+func (p *Profile) Deployment() any {
 	teams := []config.Team{}
 	for k := range p.Teams.Count {
 		teams = append(teams, config.Team{Name: teamName(k), GuaranteedGPUs: p.Teams.GPUs, GPUQuota: p.Teams.GPUsMax})
--- a/tools/scaletest/load.go
+++ b/tools/scaletest/load.go
@@ -34,7 +34,7 @@
 	network     *emulator.LoopbackNetwork
 	cloud       *emulator.SimulatedCloud
 	cloudServer *emulator.CloudServer
-	users       *users
+	users       *Users
 	startTime   time.Time
 
 	stepLateness *histogram            // delay of workers' periodic steps
@@ -76,7 +76,7 @@
 	}()
 	usersCtx, stopUsers := context.WithCancel(ctx)
 	defer stopUsers()
-	go l.users.run(usersCtx)
+	go l.users.Run(usersCtx)
 	go l.scheduleMachineFaults(ctx)
 	l.monitorProgress(ctx, stopped, json.NewEncoder(out))
 	stopUsers()
@@ -98,7 +98,7 @@
 	}
 	l.cloud = emulator.NewSimulatedCloud(ctx, emulator.SimulatedCloudConfig{
 		Settings:     settings,
-		MachineTypes: p.cloudMachineTypes(),
+		MachineTypes: p.CloudMachineTypes(),
 		MaxMachines:  p.Machines() + p.Machines()/machinesPerSpare,
 		Seed:         p.Seed,
 		History:      l.history,
@@ -108,15 +108,15 @@
 		ImageFetch: seconds(p.Workers.Fetch), RandomBoot: true, OnWorkerStep: l.stepLateness.add,
 	})
 	l.cloudServer = emulator.NewCloudServer(l.cloud, p.Cloud.RPS, seconds(p.Cloud.ListLag))
-	l.users = newUsers(p, plan.Controllers, l.history, l.cloud)
+	l.users = NewUsers(p, plan.Controllers, l.history, l.cloud)
 	for _, c := range p.Jobs {
 		l.startWaits[c.Name] = newHistogram()
 	}
 	return l
 }
 
-// cloudMachineTypes lists the machine types that the cloud offers.
-func (p *Profile) cloudMachineTypes() []cloud.MachineType {
+// CloudMachineTypes lists the machine types that the cloud offers.
+func (p *Profile) CloudMachineTypes() []cloud.MachineType {
 	var types []cloud.MachineType
 	for _, t := range p.Types {
 		types = append(types, cloud.MachineType{
--- a/tools/scaletest/users.go
+++ b/tools/scaletest/users.go
@@ -17,11 +17,11 @@
 	"robinstack/internal/job"
 )
 
-// users simulates the users of a run. The users submit jobs at the rates of the profile, regardless
+// Users simulates the users of a run. The users submit jobs at the rates of the profile, regardless
 // of the response times of the service, poll the status of their jobs as the protocol states, and
 // cancel some of them. mu guards lastJobNumber and the counts of jobs, and must not be held during
 // requests to controllers.
-type users struct {
+type Users struct {
 	profile   *Profile
 	addresses []string // of the controllers
 	history   *emulator.History
@@ -63,10 +63,11 @@
 	imageGB = 1
 )
 
-func newUsers(
+// NewUsers returns users who reach the controllers at the given addresses, by host.
+func NewUsers(
 	p *Profile, controllers map[string]string, history *emulator.History, cloud *emulator.SimulatedCloud,
-) *users {
-	return &users{
+) *Users {
+	return &Users{
 		profile:        p,
 		addresses:      slices.Sorted(maps.Values(controllers)),
 		history:        history,
@@ -105,8 +106,13 @@
 	return out
 }
 
-// run submits jobs at their scheduled times until ctx is done.
-func (u *users) run(ctx context.Context) {
+// Run submits jobs at their scheduled times, which count from the first call of Run or from
+// startTime, and returns after the last submission has begun or when ctx is done. Users follow
+// their jobs until these are finished or ctx is done.
+func (u *Users) Run(ctx context.Context) {
+	if u.startTime.IsZero() {
+		u.startTime = time.Now()
+	}
 	for _, a := range u.profile.arrivals() {
 		due := u.startTime.Add(a.at)
 		if !sleep(ctx, time.Until(due)) {
@@ -121,7 +127,7 @@
 
 // drawJob draws a job of a class and registers it with the history and the simulated cloud. It
 // returns false if maxOpenJobs are open.
-func (u *users) drawJob(c *JobClass) (spec job.Spec, ok bool) {
+func (u *Users) drawJob(c *JobClass) (spec job.Spec, ok bool) {
 	id, ok := u.registerJob(c)
 	if !ok {
 		return spec, false
@@ -144,9 +150,25 @@
 	return spec, true
 }
 
+// Query asks for the status of a job and records the response.
+func (u *Users) Query(ctx context.Context, id string) {
+	u.sendAndRecord(ctx, id, newStatusQuery(id))
+}
+
+// Cancel requests the cancellation of a job and records the response.
+func (u *Users) Cancel(ctx context.Context, id string) {
+	u.history.RecordCancelRequest(id)
+	u.sendAndRecord(ctx, id, newCancellation(id))
+}
+
+// Resubmit repeats the submission of a job and records the response.
+func (u *Users) Resubmit(ctx context.Context, spec *job.Spec) {
+	u.sendAndRecord(ctx, spec.ID, newSubmission(spec))
+}
+
 // registerJob counts a new job of a class as submitted and open, and returns its ID. It returns
 // false if maxOpenJobs are open.
-func (u *users) registerJob(c *JobClass) (id string, ok bool) {
+func (u *Users) registerJob(c *JobClass) (id string, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.open >= maxOpenJobs {
@@ -166,6 +188,12 @@
 	timeout            time.Duration
 }
 
+func newSubmission(spec *job.Spec) request {
+	return request{
+		kind: "submit", method: http.MethodPost, path: "/submissions", body: spec, timeout: submitTimeout,
+	}
+}
+
 func newStatusQuery(id string) request {
 	return request{kind: "query", method: http.MethodGet, path: "/submissions/" + id, timeout: pollTimeout}
 }
@@ -178,7 +206,7 @@
 // followJob submits a job and polls its status until it is done or cancelled. If cancels is true,
 // it waits a random part of the mean run time and then sends cancellations in place of status
 // queries.
-func (u *users) followJob(ctx context.Context, spec job.Spec, cancels bool) {
+func (u *Users) followJob(ctx context.Context, spec job.Spec, cancels bool) {
 	defer u.addToCounter(&u.open, -1)
 	if !u.submit(ctx, &spec) {
 		u.addToCounter(&u.givenUp, 1)
@@ -209,10 +237,8 @@
 
 // submit submits a job until it is accepted, rejected as invalid, or maxSubmitTime is over, and
 // reports whether it was accepted.
-func (u *users) submit(ctx context.Context, spec *job.Spec) bool {
-	submission := request{
-		kind: "submit", method: http.MethodPost, path: "/submissions", body: spec, timeout: submitTimeout,
-	}
+func (u *Users) submit(ctx context.Context, spec *job.Spec) bool {
+	submission := newSubmission(spec)
 	began := time.Now()
 	for time.Since(began) < maxSubmitTime && ctx.Err() == nil {
 		code, _ := u.sendAndRecord(ctx, spec.ID, submission)
@@ -233,7 +259,7 @@
 
 // sendAndRecord sends a request about a job and records the response in the history, unless the run
 // has ended meanwhile. Code 0 means that there was no response.
-func (u *users) sendAndRecord(ctx context.Context, id string, r request) (code int, status string) {
+func (u *Users) sendAndRecord(ctx context.Context, id string, r request) (code int, status string) {
 	requestedAt := u.history.NextRequestTime()
 	code, status = u.send(ctx, r)
 	if ctx.Err() == nil {
@@ -244,7 +270,7 @@
 
 // send sends a request to a random controller, as a load balancer would choose one. If the request
 // fails without a response, it is sent again to a controller drawn anew.
-func (u *users) send(ctx context.Context, r request) (code int, status string) {
+func (u *Users) send(ctx context.Context, r request) (code int, status string) {
 	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
 	var body []byte
@@ -293,14 +319,14 @@
 	}
 }
 
-func (u *users) addToCounter(counter *int, delta int) {
+func (u *Users) addToCounter(counter *int, delta int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	*counter += delta
 }
 
 // openJobs returns the number of jobs that are open.
-func (u *users) openJobs() int {
+func (u *Users) openJobs() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.open
@@ -308,7 +334,7 @@
 
 // addResults copies the counts and latencies of the users into a result, and returns the number of
 // submitted jobs of each class.
-func (u *users) addResults(r *LoadResult) (submitted map[string]int) {
+func (u *Users) addResults(r *LoadResult) (submitted map[string]int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, n := range u.submitted {
