--- a/cmd/robinstack/main.go
+++ b/cmd/robinstack/main.go
@@ -64,8 +64,8 @@
 	}
 	root.Flags().StringVar(&settingsPath, "config", "", "the platform's settings file (JSON)")
 	root.Flags().StringVar(&policyPath, "policy", "", "the operators' policy file")
-	root.AddCommand(checkCommand(), statusCommand(), auditCommand(), rolloutCommand(), devCommand(), scaleCommand(), soakCommand(),
-		versionCommand())
+	root.AddCommand(checkCommand(), statusCommand(), auditCommand(), rolloutCommand(), devCommand(), scaleCommand(),
+		soakCommand(), versionCommand())
 	return root
 }
 
--- a/tools/scaletest/run.go
+++ b/tools/scaletest/run.go
@@ -83,8 +83,8 @@
 	return r.finish(ctx)
 }
 
-// FreeAddresses returns n loopback addresses whose ports are free now.
-func FreeAddresses(ctx context.Context, n int) ([]string, error) {
+// freeAddresses returns n loopback addresses whose ports are free now.
+func freeAddresses(ctx context.Context, n int) ([]string, error) {
 	var out []string
 	for range n {
 		var config net.ListenConfig
@@ -114,7 +114,7 @@
 // start starts all processes, and starts the load when one of the controllers is ready.
 func (r *Run) start(ctx context.Context) error {
 	p := r.profile
-	addresses, err := FreeAddresses(ctx, firstControllerAddress+2*p.Controllers.Count)
+	addresses, err := freeAddresses(ctx, firstControllerAddress+2*p.Controllers.Count)
 	if err != nil {
 		return err
 	}
--- a/tools/soak/cluster.go
+++ b/tools/soak/cluster.go
@@ -74,21 +74,24 @@
 }
 
 func (c *cluster) start(seed uint64, logDirectory string) error {
-	n := c.options.Controllers
-	addresses, err := scaletest.FreeAddresses(c.ctx, 2*n)
-	if err != nil {
-		return err
-	}
 	zones := c.profile.Zones()
-	for k := range n {
+	for k := range c.options.Controllers {
+		listen, err := allocateAddress(c.ctx)
+		if err != nil {
+			return err
+		}
+		peerListen, err := allocateAddress(c.ctx)
+		if err != nil {
+			return err
+		}
 		c.nodes = append(c.nodes, devcluster.Node{
-			Host: fmt.Sprintf("host-%d", k), Zone: zones[k%len(zones)],
-			Listen: addresses[2*k], PeerListen: addresses[2*k+1],
+			Host: fmt.Sprintf("host-%d", k), Zone: zones[k%len(zones)], Listen: listen, PeerListen: peerListen,
 		})
 	}
 	if err := c.connect(seed); err != nil {
 		return err
 	}
+	var err error
 	c.controllers, err = devcluster.NewControllers(devcluster.ControllersConfig{
 		Nodes: c.nodes, Deployment: c.profile.Deployment(), Program: c.options.Program,
 		LogDirectory: logDirectory, LogLevel: c.options.LogLevel,
--- a/tools/soak/link.go
+++ b/tools/soak/link.go
@@ -37,6 +37,7 @@
 // link forwards the connections of its address to a server and injects faults. mu guards the fields
 // below it and is not held during I/O.
 type link struct {
+	ctx      context.Context // of the connections to the server
 	listener net.Listener
 
 	mu       sync.Mutex
@@ -55,7 +56,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("opening a link to %s: %w", target, err)
 	}
-	l := &link{target: target, listener: listener, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	l := &link{ctx: ctx, target: target, listener: listener, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
 	go l.serve()
 	return l, nil
 }
@@ -132,7 +133,7 @@
 	target := l.target
 	l.mu.Unlock()
 	dialer := net.Dialer{Timeout: time.Second}
-	server, err := dialer.DialContext(context.Background(), "tcp4", target)
+	server, err := dialer.DialContext(l.ctx, "tcp4", target)
 	if err != nil {
 		resetConn(client)
 		return
@@ -222,6 +223,7 @@
 			return true
 		case mode == linkSilent:
 			silenced = true
+		case mode == linkHeld:
 		}
 		<-changed
 	}
--- /dev/null
+++ b/tools/soak/link_test.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// echoServer answers each line with the same line until the test ends.
+func echoServer(t *testing.T) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go io.Copy(conn, conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// exchange sends a line and returns whether it comes back within the time.
+func exchange(conn net.Conn, within time.Duration) error {
+	if _, err := conn.Write([]byte("line\n")); err != nil {
+		return err
+	}
+	conn.SetReadDeadline(time.Now().Add(within))
+	_, err := bufio.NewReader(conn).ReadString('\n')
+	return err
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// Guards against a fault that has no effect, or another one than its name says.
+func TestLinkModes(t *testing.T) {
+	for mode, survives := range map[linkMode]bool{linkSilent: false, linkHeld: true, linkReset: false} {
+		for _, oneDirection := range []int{toServer, toClient} {
+			l, err := listenLink(t.Context(), echoServer(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.close()
+			conn := dial(t, l.address())
+			if err := exchange(conn, time.Second); err != nil {
+				t.Fatalf("open link: %v", err)
+			}
+			f := Fault{mode: mode, oneDirection: oneDirection}
+			l.setModes(f.modes())
+			if err := exchange(conn, 50*time.Millisecond); err == nil {
+				t.Errorf("%v, direction %d: a line passes", mode, oneDirection)
+			}
+			blocked := dial(t, l.address())
+			if mode != linkReset && exchange(blocked, 50*time.Millisecond) == nil {
+				t.Errorf("%v, direction %d: a new connection reaches the server", mode, oneDirection)
+			}
+			if l.affectedCount() == 0 {
+				t.Errorf("%v, direction %d: no effect is counted", mode, oneDirection)
+			}
+			l.setModes(linkOpen, linkOpen)
+			conn.SetReadDeadline(time.Now().Add(time.Second))
+			_, err = bufio.NewReader(conn).ReadString('\n')
+			var timeout net.Error
+			if errors.As(err, &timeout) && timeout.Timeout() || (err == nil) != survives {
+				t.Errorf("%v, direction %d: after the fault got error %v, want the held line: %t", mode, oneDirection, err, survives)
+			}
+			if err := exchange(dial(t, l.address()), time.Second); err != nil {
+				t.Errorf("%v, direction %d: a new connection after the fault: %v", mode, oneDirection, err)
+			}
+		}
+	}
+}
+
+// What a client sent before it gave up must still arrive when a held link opens.
+func TestHeldDataOfClosedConnectionIsDelivered(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	received := make(chan string, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		data, _ := io.ReadAll(conn)
+		received <- string(data)
+	}()
+	l, err := listenLink(t.Context(), listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.close()
+	conn := dial(t, l.address())
+	conn.Write([]byte("first "))
+	time.Sleep(50 * time.Millisecond)
+	l.setModes(linkHeld, linkHeld)
+	conn.Write([]byte("late"))
+	conn.Close()
+	select {
+	case got := <-received:
+		t.Fatalf("got %q while the link holds data", got)
+	case <-time.After(100 * time.Millisecond):
+	}
+	l.setModes(linkOpen, linkOpen)
+	if got := <-received; got != "first late" {
+		t.Errorf("got %q, want the held data", got)
+	}
+}
--- a/tools/soak/profile.go
+++ b/tools/soak/profile.go
@@ -27,15 +27,17 @@
 		Controllers: scaletest.Controllers{Count: o.Controllers, Cores: 0.5, MemoryMB: 256, Sockets: 4000},
 		State:       scaletest.State{RPS: 400, WriteRPS: 200, ValueKB: 8, TxnOps: 24},
 		Cloud:       scaletest.Cloud{RPS: 20, ListLag: cloudListLag.Seconds()},
-		Workers:     scaletest.Workers{Report: 1.5, Lease: 10, GangWait: 15, GangPeer: 3, Cancel: 20, Fetch: imageFetchTime.Seconds()},
-		Regions:     []scaletest.Region{{Name: "north", Zones: []string{"north-1", "north-2"}}},
+		Workers: scaletest.Workers{
+			Report: 1.5, Lease: 10, GangWait: 15, GangPeer: 3, Cancel: 20, Fetch: imageFetchTime.Seconds(),
+		},
+		Regions: []scaletest.Region{{Name: "north", Zones: []string{"north-1", "north-2"}}},
 		Types: []scaletest.MachineType{{
 			Name: machineTypeName, Count: o.Machines, CPUs: 16, GPUs: machineGPUs, MemoryGB: 128, Boot: 1, Price: 10,
 		}},
 		Teams: scaletest.Teams{Count: 3, GPUs: 10 * scale, GPUsMax: 60 * scale},
 		Jobs: []scaletest.JobClass{
-			{Name: "train", Shape: "gang", Rank: "high", Tasks: []int{1, 2, 4}, CPUs: 8, GPUs: machineGPUs, MemoryGB: 32,
-				Run: 8, PerSecond: 0.25 * scale, OneZone: true, Cancelled: 0.15, Images: 3},
+			{Name: "train", Shape: "gang", Rank: "high", Tasks: []int{1, 2, 4}, CPUs: 8, GPUs: machineGPUs,
+				MemoryGB: 32, Run: 8, PerSecond: 0.25 * scale, OneZone: true, Cancelled: 0.15, Images: 3},
 			{Name: "read", Shape: "sweep", Rank: "normal", Tasks: []int{3, 6, 12}, CPUs: 1, GPUs: 1, MemoryGB: 4,
 				Run: 9, PerSecond: 0.7 * scale, Cancelled: 0.15, Images: 6},
 			{Name: "long", Shape: "sweep", Rank: "normal", Tasks: []int{1, 2}, CPUs: 1, GPUs: 1, MemoryGB: 4,
--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -64,12 +64,12 @@
 // Activity that a run must reach for each ten seconds of its duration and, for starts, each ten
 // machines. A run below this shows nothing.
 const (
-	activityPeriod       = 10 * time.Second
-	activityMachines     = 10
-	minStartsPerPeriod   = 2
-	minFaultsPerPeriod   = 1
-	minCancelledPerMin   = 2
-	minLeaderChangesEach = 1
+	activityPeriod     = 10 * time.Second
+	activityMachines   = 10
+	minStartsPerPeriod = 2
+	minFaultsPerPeriod = 1
+	minCancelledPerMin = 2
+	minLeaders         = 1 // the first one; and one more for each minute
 )
 
 // checkActivity records a violation if the run hardly exercised the service.
@@ -82,7 +82,7 @@
 		{"task starts", r.Starts, minStartsPerPeriod * periods * max(1, r.Options.Machines/activityMachines)},
 		{"faults in effect", r.FaultsInEffect(), minFaultsPerPeriod * periods},
 		{"cancelled jobs", r.Cancelled, minCancelledPerMin * int(r.Options.Duration/time.Minute)},
-		{"changes of the leader", r.LeaderChanges, minLeaderChangesEach},
+		{"changes of the leader", r.LeaderChanges, minLeaders + int(r.Options.Duration/time.Minute)},
 	} {
 		if activity.got < activity.want {
 			r.Violations = append(r.Violations, fmt.Sprintf(
@@ -91,8 +91,9 @@
 	}
 }
 
-// logMarks are the parts of log lines that are violations by themselves.
-var logMarks = []string{fmt.Sprintf("msg=%q", logline.InvariantViolated), "panic:", "fatal error:", "DATA RACE"}
+// logMarks are the parts of log lines that are violations by themselves, or void the run.
+var logMarks = []string{fmt.Sprintf("msg=%q", logline.InvariantViolated), "panic:", "fatal error:", "DATA RACE",
+	"address already in use"}
 
 // maxLoggedViolations bounds the violations taken from one log.
 const maxLoggedViolations = 20
@@ -222,8 +223,8 @@
 	}
 	r.printTimelineExcerpt(out)
 	o := &r.Options
-	console.Printf(out, "again: robinstack soak --seed %d --duration %v --controllers %d --machines %d --level %s --logs DIR\n"+
-		"(the faults are the same; how the processes interleave is not)\nlogs: %s\n",
+	console.Printf(out, "again: robinstack soak --seed %d --duration %v --controllers %d --machines %d --level %s "+
+		"--logs DIR\n(the faults are the same; how the processes interleave is not)\nlogs: %s\n",
 		r.Seed, o.Duration, o.Controllers, o.Machines, o.LogLevel, r.LogDirectory)
 }
 
@@ -247,7 +248,8 @@
 
 // PrintTable writes one row for each report.
 func PrintTable(out io.Writer, reports []*Report) error {
-	rows := "seed\tcontrollers\tmachines\tfaults\tin effect\tstarts\trestarts\tcancelled\tleader changes\tviolations\t\n"
+	rows := "seed\tcontrollers\tmachines\tfaults\tin effect\tstarts\trestarts\tcancelled\t" +
+		"leader changes\tviolations\t\n"
 	for _, r := range reports {
 		rows += fmt.Sprintf("%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n",
 			r.Seed, r.Options.Controllers, r.Options.Machines, len(r.Schedule), r.FaultsInEffect(), r.Starts,
--- a/tools/soak/stategate.go
+++ b/tools/soak/stategate.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return
 	}
-	copied := r.Clone(g.ctx)
+	copied := r.Clone(g.ctx) //nolint:contextcheck // the copy has to outlive the request
 	copied.Body = io.NopCloser(bytes.NewReader(body))
 	go func() {
 		if sleep(g.ctx, delay) {
