machine: a heartbeat of an ended worker epoch brings no task back

The delayed heartbeat was newer than the latest one received, so the owner listed the tasks again, although their worker had killed them.

The proof is final now: messages of a worker epoch whose lease has expired are neither applied nor answered.

--- a/internal/clusteragent/heartbeat.go
+++ b/internal/clusteragent/heartbeat.go
@@ -147,6 +147,9 @@
 		// due commands, or one after the lease grace period, would wrongly renew its lease.
 		return HeartbeatReply{}, true
 	}
+	if m.Liveness.OfEndedEpoch(r) {
+		return HeartbeatReply{}, true // a delayed copy, which proves nothing and must renew no lease
+	}
 	if m.Liveness.RecordHeartbeat(now) {
 		a.changes.markChanged(m)
 	}
--- a/internal/machine/gone_test.go
+++ b/internal/machine/gone_test.go
@@ -52,3 +52,22 @@
 		t.Errorf("got %d tasks after the lease expired, want none", len(m.tasks))
 	}
 }
+
+// Guards against tasks that come back with a heartbeat which was delayed until their worker's lease had expired.
+func TestDelayedHeartbeatOfEndedEpochBringsNoTaskBack(t *testing.T) {
+	now, expiry := time.Unix(1000, 0), 30*time.Second
+	m := New(Identity{Name: "m1"}, 1, 1, now)
+	heartbeat := worker.Heartbeat{WorkerEpoch: 1, Sequence: 1, Tasks: []worker.Task{{ID: "wk-1/0", Attempt: 1, State: worker.TaskRunning}}}
+	m.Apply(&heartbeat, now, 0)
+	if !m.ExpireLease(now.Add(31*time.Second), expiry) {
+		t.Fatal("the lease has not expired")
+	}
+	heartbeat.Sequence = 2
+	if m.Apply(&heartbeat, now.Add(32*time.Second), 0) || len(m.tasks) != 0 {
+		t.Errorf("got %d tasks from a delayed heartbeat of the ended epoch, want none", len(m.tasks))
+	}
+	heartbeat.WorkerEpoch, heartbeat.Sequence = 2, 3
+	if !m.Apply(&heartbeat, now.Add(33*time.Second), 0) || len(m.tasks) != 1 {
+		t.Errorf("got %d tasks from a heartbeat of the next epoch, want one", len(m.tasks))
+	}
+}
--- a/internal/machine/heartbeat.go
+++ b/internal/machine/heartbeat.go
@@ -11,9 +11,9 @@
 // Apply updates the machine from a heartbeat or from the response to a command, and reports whether
 // anything changed. executedToken is the token of the command if the worker executed it, and 0 for
 // a heartbeat or for a command that was not executed. Apply ignores a state that is not newer than
-// the latest one.
+// the latest one or that is from a worker epoch known to have ended.
 func (m *Machine) Apply(r *worker.Heartbeat, now time.Time, executedToken uint64) (changed bool) {
-	if !m.Liveness.latest.Before(MessageSequenceOf(r)) {
+	if !m.Liveness.latest.Before(MessageSequenceOf(r)) || m.Liveness.OfEndedEpoch(r) {
 		return false
 	}
 	changed = m.applyWorkerEpoch(r, now)
--- a/internal/machine/liveness.go
+++ b/internal/machine/liveness.go
@@ -64,6 +64,7 @@
 
 	latest          MessageSequence // of all heartbeats and responses to commands
 	latestHeartbeat MessageSequence // of the heartbeats sent to this owner, without responses to commands
+	endedEpoch      uint64          // latest worker epoch whose lease is known to have expired; 0: none
 	unanswered      int             // consecutive commands without a response
 	unansweredSince time.Time
 }
@@ -111,6 +112,10 @@
 	return l.latestHeartbeat == MessageSequenceOf(r)
 }
 
+// OfEndedEpoch reports whether a heartbeat or the response to a command is from a worker epoch whose
+// lease is known to have expired. Such a message was delayed: the tasks that it lists are gone.
+func (l *Liveness) OfEndedEpoch(r *worker.Heartbeat) bool { return r.WorkerEpoch <= l.endedEpoch }
+
 // AcceptHeartbeat records a heartbeat as the latest one sent to this owner.
 func (l *Liveness) AcceptHeartbeat(r *worker.Heartbeat) { l.latestHeartbeat = MessageSequenceOf(r) }
 
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -131,7 +131,11 @@
 // leaseExpiry ago, and reports whether anything changed. Commands that are still in flight cannot
 // take effect any more, because the worker is in a later epoch.
 func (m *Machine) ExpireLease(now time.Time, leaseExpiry time.Duration) (changed bool) {
-	if !m.workerLeaseExpired(now, leaseExpiry) || len(m.tasks) == 0 && m.Ownership.reconciled {
+	if !m.workerLeaseExpired(now, leaseExpiry) {
+		return false
+	}
+	m.Liveness.endedEpoch = m.Liveness.latest.epoch
+	if len(m.tasks) == 0 && m.Ownership.reconciled {
 		return false
 	}
 	slog.Info("worker lease expired", "machine", m.Name, "tasks", len(m.tasks), "reconciled", m.Ownership.reconciled,
