leader: plan from a list of machines that is no older than the quota ledger

The plan read the feed's entries, then waited for the leader's mutex, and dropped from the ledger the machines that the list lacked, with the tasks that entries had shown in between. After a change of leader these can be hundreds of machines at once; until their next entries their teams counted as using nothing (rule quota).

Evidence: TestPlanKeepsTasksOfMachinesReportedSince got 0 GPUs in use instead of 8, and passes.

The list is read with the mutex held. The feed has every entry before the ledger does, so the list then covers all machines in the ledger.

--- a/internal/leader/confirmation_test.go
+++ b/internal/leader/confirmation_test.go
@@ -16,6 +16,7 @@
 // singleEntryAgent answers the first watch with one entry, and leaves later ones unanswered.
 type singleEntryAgent struct {
 	reply    agentapi.WatchReply
+	reported chan struct{} // the first watch is answered when it is closed; nil: at once
 	answered bool
 }
 
@@ -25,6 +26,9 @@
 		return ctx.Err()
 	}
 	a.answered = true
+	if a.reported != nil {
+		<-a.reported
+	}
 	*reply.(*agentapi.WatchReply) = a.reply
 	return nil
 }
@@ -63,3 +67,35 @@
 		}
 	})
 }
+
+// Invariant quota: a plan whose list of machines is older than the ledger must not drop the tasks of machines since then.
+func TestPlanKeepsTasksOfMachinesReportedSince(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	l, _ := newLeader(t, ctx)
+	reported := make(chan struct{})
+	agent := &singleEntryAgent{reported: reported, reply: agentapi.WatchReply{Host: "host-9", Instance: 7, Ver: 1,
+		Entries: []agentapi.MachineEntry{{Machine: "m1", Host: "host-9", Rev: 2, Ver: 1, Settled: true,
+			Tasks: []agentapi.TaskEntry{{TaskRef: agentapi.TaskRef{Job: "wk-9", Attempt: 1}, State: "running",
+				Known: true, Team: "t", Need: job.Resources{GPUs: 8}}}}}}}
+	l.feed = changefeed.New(agent, l.mirror, []string{"host-9"}, func() uint64 { return 0 }, func([]agentapi.MachineEntry) {})
+	go l.feed.Run(ctx)
+	planned := make(chan struct{})
+	l.mu.Lock()
+	go func() {
+		l.plan(time.Now())
+		close(planned)
+	}()
+	time.Sleep(50 * time.Millisecond) // until the plan waits for l.mu
+	close(reported)
+	for _, known := l.feed.OwnerHost("m1"); !known; _, known = l.feed.OwnerHost("m1") {
+		time.Sleep(time.Millisecond)
+	}
+	entry := l.feed.LastEntry("m1")
+	l.applyEntry(&entry)
+	l.mu.Unlock()
+	<-planned
+	if usage, _ := l.TeamUsage(); usage["t"].GPUs != 8 {
+		t.Errorf("got %v GPUs in use after the plan, want 8", usage["t"].GPUs)
+	}
+}
--- a/internal/leader/scaling.go
+++ b/internal/leader/scaling.go
@@ -58,17 +58,19 @@
 
 // plan decides which machines to request, drain and delete.
 func (l *Leader) plan(now time.Time) *autoscaler.Plan {
+	types := l.catalogue.Types()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	snapshot := &autoscaler.Snapshot{
-		Now:     now,
-		Types:   l.catalogue.Types(),
+		Now:   now,
+		Types: types,
+		// Read with l.mu held: every entry that the ledger includes is then in the list.
 		Entries: l.feed.Entries(),
 		HasOwner: func(machine string) bool {
 			_, owned := l.mirror.Get(statekv.MachinePrefix + machine)
 			return owned
 		},
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	snapshot.Epoch, snapshot.Demand = l.epoch, l.demand
 	snapshot.LedgerMachines = l.ledger.MachineCount()
 	inventory := l.fleet.BuildInventory(snapshot)
