scheduler: an attempt of a later scheduler is no second attempt

The check leaves out attempts whose number has a later epoch than the scheduler's; all others are reported as before.

--- a/internal/scheduler/gone_test.go
+++ b/internal/scheduler/gone_test.go
@@ -28,3 +28,27 @@
 		t.Errorf("with a proof: got status %d, want the task pending and no violation", j.tasks[0].status)
 	}
 }
+
+// Guards against a second attempt that is not reported, and against one of a later scheduler that is.
+func TestSecondAttemptIsReportedUnlessOfLaterScheduler(t *testing.T) {
+	s := &Scheduler{shards: map[string]*jobShard{"s": {epoch: 5}}}
+	j := &jobState{spec: &job.Spec{ID: "wk-1", Shape: job.Array, Tasks: 1}, shardID: "s", tasks: make([]taskState, 1)}
+	j.tasks[0].beginAttempt(5<<epochAttemptBits+2, "a")
+	j.tasks[0].markPlaced("m1", "a", 3, 1)
+	for _, c := range []struct {
+		attempt    uint64
+		reconciled bool
+		violations int64
+	}{
+		{5<<epochAttemptBits + 1, true, 1},
+		{4<<epochAttemptBits + 9, true, 1},
+		{5<<epochAttemptBits + 1, false, 0},
+		{6<<epochAttemptBits + 1, true, 0},
+	} {
+		entry := agentapi.MachineEntry{Machine: "m2", Rev: 4, Ver: 1, Settled: c.reconciled}
+		s.checkSecondAttempt(&entry, &agentapi.TaskEntry{TaskRef: agentapi.TaskRef{Job: "wk-1", Attempt: c.attempt}}, j)
+		if got := invariant.Reset(); got != c.violations {
+			t.Errorf("attempt %d, reconciled %t: got %d violations, want %d", c.attempt, c.reconciled, got, c.violations)
+		}
+	}
+}
--- a/internal/scheduler/machine_entries.go
+++ b/internal/scheduler/machine_entries.go
@@ -74,7 +74,7 @@
 	if pending && ended || !pending && task.attempt != listed.Attempt {
 		// The attempt was given up as lost, but it was started after all.
 		if !ended {
-			s.checkSecondAttempt(entry, listed, task)
+			s.checkSecondAttempt(entry, listed, j)
 		}
 		s.queueForget(item)
 		return
