--- a/tools/soak/cluster.go
+++ b/tools/soak/cluster.go
@@ -216,10 +216,12 @@
 		l.setTarget(served)
 	}
 	zones := c.profile.Zones()
-	for k, zone := range zones {
-		count := (c.options.Machines + len(zones) - 1 - k) / len(zones)
-		if err := c.cloud.AddMachines(machineTypeName, zone, count, maxBootTime); err != nil {
-			return err
+	for _, machineType := range c.profile.Types {
+		for k, zone := range zones {
+			count := (machineType.Count + len(zones) - 1 - k) / len(zones)
+			if err := c.cloud.AddMachines(machineType.Name, zone, count, maxBootTime); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
--- a/tools/soak/profile.go
+++ b/tools/soak/profile.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	machineTypeName = "box"
-	machineGPUs     = 4
+	boxGPUs = 4
+	// One in machinesPerSmall machines is of a small type that some classes of jobs do not fit, so that
+	// after a takeover these jobs need not wait for all machines.
+	machinesPerSmall = 3
 	// machinesPerSpare is the number of initial machines for which the cloud offers one more.
 	machinesPerSpare = 4
 	// maxBootTime bounds the boot times of the initial machines.
@@ -22,6 +24,7 @@
 // minute sees many of them expire.
 func newProfile(o *Options, seed uint64) *scaletest.Profile {
 	scale := float64(o.Machines) / referenceMachines
+	small := o.Machines / machinesPerSmall
 	return &scaletest.Profile{
 		Name: "soak", Duration: int(o.Duration.Seconds()), Seed: seed,
 		Controllers: scaletest.Controllers{Count: o.Controllers, Cores: 0.5, MemoryMB: 256, Sockets: 4000},
@@ -31,16 +34,17 @@
 			Report: 1.5, Lease: 10, GangWait: 15, GangPeer: 3, Cancel: 20, Fetch: imageFetchTime.Seconds(),
 		},
 		Regions: []scaletest.Region{{Name: "north", Zones: []string{"north-1", "north-2"}}},
-		Types: []scaletest.MachineType{{
-			Name: machineTypeName, Count: o.Machines, CPUs: 16, GPUs: machineGPUs, MemoryGB: 128, Boot: 1, Price: 10,
-		}},
+		Types: []scaletest.MachineType{
+			{Name: "box", Count: o.Machines - small, CPUs: 16, GPUs: boxGPUs, MemoryGB: 128, Boot: 1, Price: 10},
+			{Name: "small", Count: small, CPUs: 4, GPUs: boxGPUs / 2, MemoryGB: 32, Boot: 1, Price: 4},
+		},
 		Teams: scaletest.Teams{Count: 3, GPUs: 10 * scale, GPUsMax: 60 * scale},
 		Jobs: []scaletest.JobClass{
-			{Name: "train", Shape: "gang", Rank: "high", Tasks: []int{1, 2, 4}, CPUs: 8, GPUs: machineGPUs,
+			{Name: "train", Shape: "gang", Rank: "high", Tasks: []int{1, 2, 4}, CPUs: 8, GPUs: boxGPUs,
 				MemoryGB: 32, Run: 8, PerSecond: 0.25 * scale, OneZone: true, Cancelled: 0.15, Images: 3},
 			{Name: "read", Shape: "sweep", Rank: "normal", Tasks: []int{3, 6, 12}, CPUs: 1, GPUs: 1, MemoryGB: 4,
 				Run: 9, PerSecond: 0.7 * scale, Cancelled: 0.15, Images: 6},
-			{Name: "long", Shape: "sweep", Rank: "normal", Tasks: []int{1, 2}, CPUs: 1, GPUs: 1, MemoryGB: 4,
+			{Name: "long", Shape: "sweep", Rank: "normal", Tasks: []int{1, 2}, CPUs: 5, GPUs: 1, MemoryGB: 4,
 				Run: 25, PerSecond: 0.4 * scale, OneZone: true, Cancelled: 0.1, Images: 3},
 			{Name: "single", Shape: "sweep", Rank: "normal", Tasks: []int{1}, CPUs: 1, MemoryGB: 1,
 				Run: 2, PerSecond: 1 * scale, Cancelled: 0.25, Images: 2},
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -28,7 +28,7 @@
 const (
 	minDuration, maxDuration       = 15 * time.Second, 4 * time.Hour
 	minControllers, maxControllers = 2, 7
-	minMachines, maxMachines       = 8, 600
+	minMachines, maxMachines       = 8, 400
 )
 
 // Check returns an error that wraps ErrInvalidOptions and names the first option that is out of range.
