--- a/emulator/clock.go
+++ b/emulator/clock.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// sleep waits for d and reports whether the full duration passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
+// Sleep waits for d and reports whether the full duration passed before ctx ended.
+func Sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/emulator/faultystateclient_store.go
+++ b/emulator/faultystateclient_store.go
@@ -28,7 +28,7 @@
 	if latency == 0 {
 		return faults, nil
 	}
-	if !sleep(ctx, min(latency, clientTimeout)) || latency >= clientTimeout {
+	if !Sleep(ctx, min(latency, clientTimeout)) || latency >= clientTimeout {
 		return requestFaults{}, statekv.ErrOutcomeUnknown
 	}
 	return faults, nil
@@ -112,7 +112,7 @@
 		return c.service.Txn(ctx, when, then)
 	}
 	go c.applyLater(context.WithoutCancel(ctx), c.drawTxnDelay(), when, then)
-	sleep(ctx, clientTimeout)
+	Sleep(ctx, clientTimeout)
 	return 0, statekv.ErrOutcomeUnknown
 }
 
@@ -153,14 +153,14 @@
 	c.mu.Unlock()
 	deadline := time.Now().Add(block + lag + clientTimeout)
 	response, err := c.service.Watch(ctx, prefix, since, block)
-	if lag > 0 && len(response.Events) > 0 && !sleep(ctx, lag) {
+	if lag > 0 && len(response.Events) > 0 && !Sleep(ctx, lag) {
 		return statekv.WatchResponse{}, statekv.ErrOutcomeUnknown
 	}
 	for c.isRejecting() {
 		if time.Now().After(deadline) || ctx.Err() != nil {
 			return statekv.WatchResponse{}, statekv.ErrOutcomeUnknown
 		}
-		sleep(ctx, outagePollInterval)
+		Sleep(ctx, outagePollInterval)
 		response, err = c.service.Watch(ctx, prefix, since, 0)
 	}
 	return response, err
--- a/emulator/localmachine.go
+++ b/emulator/localmachine.go
@@ -42,7 +42,7 @@
 // run is the main loop of the worker. It boots the machine, then serves commands and sends
 // heartbeats to one controller at a time until the machine is deleted.
 func (m *LocalMachine) run(listener net.Listener) {
-	if !sleep(m.ctx, m.machineType.ProvisioningTime()) {
+	if !Sleep(m.ctx, m.machineType.ProvisioningTime()) {
 		_ = listener.Close() // the listener has not been used
 		return
 	}
--- a/emulator/localtask.go
+++ b/emulator/localtask.go
@@ -124,7 +124,7 @@
 	if line, ok := strings.CutPrefix(s.Image, shellPrefix); ok {
 		return exec.CommandContext(ctx, "sh", "-c", line).Run()
 	}
-	if !sleep(ctx, config.Seconds(s.EstimateS)) {
+	if !Sleep(ctx, config.Seconds(s.EstimateS)) {
 		return ctx.Err()
 	}
 	return nil
--- a/emulator/loopbacknetwork.go
+++ b/emulator/loopbacknetwork.go
@@ -223,10 +223,10 @@
 	lost, delay := m.InboundLost || m.CommandsLost, m.CommandDelay
 	m.cloud.mu.Unlock()
 	if lost {
-		sleep(m.ctx, 2*clientTimeout)
+		Sleep(m.ctx, 2*clientTimeout)
 		return false
 	}
-	return delay == 0 || sleep(m.ctx, delay)
+	return delay == 0 || Sleep(m.ctx, delay)
 }
 
 func respondHeartbeat(ctx *fasthttp.RequestCtx, status int, h worker.Heartbeat) {
--- a/emulator/simulatedcommander.go
+++ b/emulator/simulatedcommander.go
@@ -39,14 +39,14 @@
 	m := c.cloud.machines[address]
 	if m == nil || !m.reachableFrom(c.host) {
 		c.cloud.mu.Unlock()
-		sleep(ctx, clientTimeout)
+		Sleep(ctx, clientTimeout)
 		return nil, false, errNoResponse
 	}
 	delay := m.CommandDelay
 	c.cloud.mu.Unlock()
 	done := make(chan commandResult, 1)
 	go func() {
-		if delay > 0 && !sleep(m.ctx, delay) {
+		if delay > 0 && !Sleep(m.ctx, delay) {
 			return
 		}
 		if heartbeat, executed, ok := m.execute(token, epoch, commands); ok {
--- a/emulator/simulatedmachine.go
+++ b/emulator/simulatedmachine.go
@@ -144,7 +144,7 @@
 // stops.
 func (m *SimulatedMachine) run() {
 	c := m.cloud
-	if !sleep(m.ctx, m.bootTime) {
+	if !Sleep(m.ctx, m.bootTime) {
 		if m.listener != nil {
 			_ = m.listener.Close() // the listener has not been used
 		}
@@ -188,7 +188,7 @@
 	lost := m.HeartbeatsLost || !m.canReach(host)
 	c.mu.Unlock()
 	if lost {
-		sleep(m.ctx, heartbeatTimeout)
+		Sleep(m.ctx, heartbeatTimeout)
 		return heartbeatTarget{}
 	}
 	code, body := m.exchange(host, &heartbeat)
@@ -211,7 +211,7 @@
 	delay := m.ResponseDelay
 	m.cloud.mu.Unlock()
 	if delay > 0 {
-		sleep(m.ctx, delay)
+		Sleep(m.ctx, delay)
 	}
 }
 
--- a/emulator/simulatedtask.go
+++ b/emulator/simulatedtask.go
@@ -49,7 +49,7 @@
 			return m.nextHeartbeat(), executed, true
 		}
 		m.cloud.mu.Unlock()
-		sleep(m.ctx, hungPollInterval)
+		Sleep(m.ctx, hungPollInterval)
 	}
 	return heartbeat, false, false
 }
--- a/emulator/workerlease.go
+++ b/emulator/workerlease.go
@@ -116,7 +116,7 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-requested:
-		sleep(ctx, time.Until(earliest))
+		Sleep(ctx, time.Until(earliest))
 	}
 }
 
--- a/emulator/workers.go
+++ b/emulator/workers.go
@@ -145,7 +145,7 @@
 	if target.CommandsToLose > 0 {
 		target.CommandsToLose--
 		w.mu.Unlock()
-		sleep(ctx, clientTimeout)
+		Sleep(ctx, clientTimeout)
 		w.mu.Lock()
 		return nil, false, errResponseTimeout
 	}
--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -219,6 +219,18 @@
 	return e.Host, ok && !e.Gone
 }
 
+// GroupByOwner groups items by the host that reported the latest entry of each item's machine. Items
+// of machines without an owner are left out.
+func GroupByOwner[T any](f *Feed, items []T, machineOf func(*T) string) map[string][]T {
+	byHost := map[string][]T{}
+	for i := range items {
+		if host, ok := f.OwnerHost(machineOf(&items[i])); ok {
+			byHost[host] = append(byHost[host], items[i])
+		}
+	}
+	return byHost
+}
+
 // LastEntry returns a machine's latest entry. A new owner restores from it what the former owner
 // knew of the machine.
 func (f *Feed) LastEntry(machine string) agentapi.MachineEntry {
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -5,7 +5,9 @@
 package invariant
 
 import (
+	"fmt"
 	"log/slog"
+	"os"
 	"sync/atomic"
 
 	"robinstack/internal/logline"
@@ -37,6 +39,16 @@
 // Violations returns the number of violations since the start of the process.
 func Violations() int64 { return violations.Load() }
 
+// ExitCode returns the exit code of a test binary whose tests ended with the given code: 1 if any
+// invariant was violated.
+func ExitCode(code int) int {
+	if n := Violations(); n > 0 {
+		fmt.Fprintf(os.Stderr, "%d invariants were violated; the log, at level error, says which\n", n)
+		return 1
+	}
+	return code
+}
+
 // Reset sets the number of violations to 0 and returns the former number. Tests that plant
 // violations call it.
 func Reset() int64 { return violations.Swap(0) }
--- a/internal/leader/scaling.go
+++ b/internal/leader/scaling.go
@@ -9,6 +9,7 @@
 
 	"robinstack/internal/agentapi"
 	"robinstack/internal/autoscaler"
+	"robinstack/internal/changefeed"
 	"robinstack/internal/cloud"
 	"robinstack/internal/logline"
 	"robinstack/internal/statekv"
@@ -196,11 +197,5 @@
 
 // groupByOwner groups machines by the host of their owner. Machines without an owner are left out.
 func (l *Leader) groupByOwner(machines []string) map[string][]string {
-	byHost := map[string][]string{}
-	for _, name := range machines {
-		if host, ok := l.feed.OwnerHost(name); ok {
-			byHost[host] = append(byHost[host], name)
-		}
-	}
-	return byHost
+	return changefeed.GroupByOwner(l.feed, machines, func(name *string) string { return *name })
 }
--- a/internal/scheduler/failures.go
+++ b/internal/scheduler/failures.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"robinstack/internal/agentapi"
+	"robinstack/internal/changefeed"
 	"robinstack/internal/job"
 	"robinstack/internal/rollout"
 	"robinstack/internal/worker"
@@ -93,12 +94,7 @@
 // sendAttributions sends failure attributions to the owners of the machines. A lost message does no
 // harm: suspicion of a machine expires.
 func (s *Scheduler) sendAttributions(ctx context.Context, attributions []agentapi.Attribution) {
-	byHost := map[string][]agentapi.Attribution{}
-	for _, item := range attributions {
-		if host, ok := s.feed.OwnerHost(item.Machine); ok {
-			byHost[host] = append(byHost[host], item)
-		}
-	}
+	byHost := changefeed.GroupByOwner(s.feed, attributions, func(a *agentapi.Attribution) string { return a.Machine })
 	for host, hostAttributions := range byHost {
 		s.background.Go(func() {
 			callCtx, cancel := context.WithTimeout(ctx, outboxTimeout)
--- a/internal/scheduler/outbox.go
+++ b/internal/scheduler/outbox.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"robinstack/internal/agentapi"
+	"robinstack/internal/changefeed"
 )
 
 const (
@@ -113,12 +114,7 @@
 // sendStops sends stops and permissions to forget attempts to the owners of the machines. Items for
 // machines without a known owner are dropped.
 func (s *Scheduler) sendStops(ctx context.Context, items []agentapi.StopItem) {
-	byHost := map[string][]agentapi.StopItem{}
-	for _, item := range items {
-		if host, ok := s.feed.OwnerHost(item.Machine); ok {
-			byHost[host] = append(byHost[host], item)
-		}
-	}
+	byHost := changefeed.GroupByOwner(s.feed, items, func(item *agentapi.StopItem) string { return item.Machine })
 	for host, items := range byHost {
 		s.background.Go(func() { s.sendStopsTo(ctx, host, items) })
 	}
--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -1,7 +1,6 @@
 package integration
 
 import (
-	"fmt"
 	"io"
 	"log/slog"
 	"os"
@@ -16,10 +15,5 @@
 	if os.Getenv("LOG_LEVEL") == "" {
 		slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
 	}
-	code := m.Run()
-	if n := invariant.Violations(); n > 0 {
-		fmt.Fprintf(os.Stderr, "%d invariants were violated; LOG_LEVEL=error shows them\n", n)
-		code = 1
-	}
-	os.Exit(code)
+	os.Exit(invariant.ExitCode(m.Run()))
 }
--- a/tools/devcluster/client.go
+++ b/tools/devcluster/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"robinstack/emulator"
 	"robinstack/internal/job"
 	"robinstack/tools/console"
 )
@@ -127,7 +128,7 @@
 		if s.poll(ctx, out) {
 			return nil
 		}
-		sleep(ctx, samplePoll)
+		emulator.Sleep(ctx, samplePoll)
 	}
 	return fmt.Errorf("job %s did not finish: %w", s.id, ctx.Err())
 }
--- a/tools/devcluster/cluster.go
+++ b/tools/devcluster/cluster.go
@@ -14,7 +14,6 @@
 	"io"
 	"net"
 	"net/http"
-	"time"
 
 	"robinstack/emulator"
 	"robinstack/internal/cloud"
@@ -217,11 +216,3 @@
 	}
 	close(c.leaseExpiryStop)
 }
-
-// sleep waits for d, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/tools/devcluster/controllers.go
+++ b/tools/devcluster/controllers.go
@@ -14,6 +14,8 @@
 	"path/filepath"
 	"sync"
 	"time"
+
+	"robinstack/emulator"
 )
 
 // Node describes a controller for its settings file.
@@ -238,7 +240,7 @@
 				return nil
 			}
 		}
-		sleep(ctx, readyPoll)
+		emulator.Sleep(ctx, readyPoll)
 	}
 	return fmt.Errorf("no controller became ready: %w", ctx.Err())
 }
--- a/tools/devcluster/rollouts.go
+++ b/tools/devcluster/rollouts.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"robinstack/emulator"
 	"robinstack/internal/rollout"
 	"robinstack/internal/statekv"
 	"robinstack/tools/console"
@@ -74,7 +75,7 @@
 	defer stopLoad()
 	var load sync.WaitGroup
 	load.Go(func() { users.run(loadCtx) })
-	sleep(ctx, plan.Warmup)
+	emulator.Sleep(ctx, plan.Warmup)
 	r := &rolloutRun{cluster: c, plan: plan, users: users, startTime: time.Now()}
 	for n := range plan.Rollouts {
 		if err := r.rollForwardAndBack(ctx, n); err != nil {
@@ -141,7 +142,7 @@
 
 // pauseUpTo waits for a random time between 0 and limit.
 func pauseUpTo(ctx context.Context, limit time.Duration) {
-	sleep(ctx, time.Duration(rand.Float64()*float64(limit)))
+	emulator.Sleep(ctx, time.Duration(rand.Float64()*float64(limit)))
 }
 
 // isIrreversible reports whether a cluster version includes an irreversible feature. Such a version
--- a/tools/scaletest/users.go
+++ b/tools/scaletest/users.go
@@ -115,7 +115,7 @@
 	}
 	for _, a := range u.profile.arrivals() {
 		due := u.startTime.Add(a.at)
-		if !sleep(ctx, time.Until(due)) {
+		if !emulator.Sleep(ctx, time.Until(due)) {
 			return
 		}
 		u.submitLateness.add(time.Since(due))
@@ -214,10 +214,10 @@
 	}
 	u.addToCounter(&u.accepted, 1)
 	poll := newStatusQuery(spec.ID)
-	if cancels && sleep(ctx, time.Duration(rand.Float64()*spec.EstimateS*float64(time.Second))) {
+	if cancels && emulator.Sleep(ctx, time.Duration(rand.Float64()*spec.EstimateS*float64(time.Second))) {
 		poll = newCancellation(spec.ID)
 	}
-	for sleep(ctx, time.Duration(float64(pollInterval)*(0.8+0.4*rand.Float64()))) {
+	for emulator.Sleep(ctx, time.Duration(float64(pollInterval)*(0.8+0.4*rand.Float64()))) {
 		if poll.kind == "cancel" {
 			u.history.RecordCancelRequest(spec.ID)
 		}
@@ -252,7 +252,7 @@
 		case http.StatusBadRequest, http.StatusUnprocessableEntity:
 			return false
 		}
-		sleep(ctx, submitInterval)
+		emulator.Sleep(ctx, submitInterval)
 	}
 	return false
 }
@@ -309,16 +309,6 @@
 	return response.StatusCode, answer.Status
 }
 
-// sleep waits for d, and reports whether it did so before ctx was done.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 func (u *Users) addToCounter(counter *int, delta int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/tools/soak/cluster.go
+++ b/tools/soak/cluster.go
@@ -270,7 +270,7 @@
 // after runs an action of a fault later, unless the run ends first.
 func (c *cluster) after(d time.Duration, action func()) {
 	c.timers.Go(func() {
-		if sleep(c.ctx, d) {
+		if emulator.Sleep(c.ctx, d) {
 			action()
 		}
 	})
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -9,6 +9,8 @@
 	"path/filepath"
 	"sync"
 	"time"
+
+	"robinstack/emulator"
 )
 
 // ErrInvalidOptions marks options with which no run can be started.
@@ -124,12 +126,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var observers sync.WaitGroup
 	observers.Go(func() {
-		for sleep(ctx, observeInterval) {
+		for emulator.Sleep(ctx, observeInterval) {
 			c.observe()
 		}
 	})
 	observers.Go(func() {
-		for sleep(ctx, time.Second) {
+		for emulator.Sleep(ctx, time.Second) {
 			c.history.CheckWaitingJobs(c.cloud.HasCapacity)
 		}
 	})
@@ -150,7 +152,7 @@
 	for i := range schedule {
 		injected[i].Fault = schedule[i]
 		active.Go(func() {
-			if sleep(c.ctx, time.Until(begin.Add(schedule[i].At))) {
+			if emulator.Sleep(c.ctx, time.Until(begin.Add(schedule[i].At))) {
 				injected[i].Affected = c.injectFault(&schedule[i])
 			}
 		})
@@ -167,7 +169,7 @@
 		}
 		c.history.RecordFault("begins: %v", f)
 		injected := faultKinds[i].inject(c, f)
-		sleep(c.ctx, f.For)
+		emulator.Sleep(c.ctx, f.For)
 		injected.end()
 		c.history.RecordFault("ends: %v", f)
 		return injected.affected()
@@ -192,7 +194,7 @@
 func (c *cluster) queryAtRandom(ctx context.Context, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	var requests sync.WaitGroup
-	for n := 0; sleep(ctx, randomDuration(rng, 2*queryInterval)); n++ {
+	for n := 0; emulator.Sleep(ctx, randomDuration(rng, 2*queryInterval)); n++ {
 		ids := c.history.AcceptedJobIDs()
 		if len(ids) == 0 {
 			continue
@@ -230,10 +232,10 @@
 		c.launch(k)
 	}
 	c.history.RecordFault("all faults have ended")
-	sleep(c.ctx, settleTime)
+	emulator.Sleep(c.ctx, settleTime)
 	c.history.RecordFaultsEnded()
 	for end := time.Now().Add(drainTimeout); time.Now().Before(end) && !c.history.AllFinal(); {
-		if !sleep(c.ctx, observeInterval) {
+		if !emulator.Sleep(c.ctx, observeInterval) {
 			return
 		}
 	}
--- a/tools/soak/stategate.go
+++ b/tools/soak/stategate.go
@@ -9,6 +9,8 @@
 	"net/http/httptest"
 	"sync"
 	"time"
+
+	"robinstack/emulator"
 )
 
 // stateFaults are the faults that a stateGate injects.
@@ -63,7 +65,7 @@
 		g.affected++
 	}
 	g.mu.Unlock()
-	sleep(r.Context(), faults.latency)
+	emulator.Sleep(r.Context(), faults.latency)
 	switch {
 	case faults.reject:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -85,25 +87,10 @@
 	copied := r.Clone(g.ctx) //nolint:contextcheck // the copy has to outlive the request
 	copied.Body = io.NopCloser(bytes.NewReader(body))
 	go func() {
-		if sleep(g.ctx, delay) {
+		if emulator.Sleep(g.ctx, delay) {
 			g.service.ServeHTTP(httptest.NewRecorder(), copied)
 		}
 	}()
-	sleep(r.Context(), unansweredTimeout)
+	emulator.Sleep(r.Context(), unansweredTimeout)
 	panic(http.ErrAbortHandler) // closes the connection without an answer
 }
-
-// sleep waits for d, and reports whether it did so before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
