soak: every schedule kills the leader

The bound stays; every schedule now kills the leader, whichever controller that is, once in each 25 s.

--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -61,6 +61,19 @@
 	{"machines fail", time.Second, time.Second, 2, failMachines},
 }
 
+// leaderKills is the kind of fault that every schedule has.
+var leaderKills = kindNamed("leaders are killed in a row")
+
+// kindNamed returns the kind of fault with the given name, or nil.
+func kindNamed(name string) *faultKind {
+	for i := range faultKinds {
+		if faultKinds[i].name == name {
+			return &faultKinds[i]
+		}
+	}
+	return nil
+}
+
 // Delays of late commands and answers. A controller waits 2 s for the outcome of a command, a worker
 // 4 s for the answer to its heartbeat.
 const (
--- a/tools/soak/report_test.go
+++ b/tools/soak/report_test.go
@@ -23,14 +23,21 @@
 	}
 	overlapping, kinds := 0, map[string]bool{}
 	for seed := range uint64(20) {
+		leaderKillFaults := 0
 		for i, f := range Schedule(seed, time.Minute, 3) {
 			kinds[f.Kind] = true
+			if f.Kind == leaderKills.name {
+				leaderKillFaults++
+			}
 			for _, other := range Schedule(seed, time.Minute, 3)[:i] {
 				if other.At+other.For > f.At {
 					overlapping++
 				}
 			}
 		}
+		if leaderKillFaults < 2 {
+			t.Errorf("seed %d kills leaders %d times in a minute, want at least twice", seed, leaderKillFaults)
+		}
 	}
 	if len(kinds) != len(faultKinds) || overlapping < 100 {
 		t.Errorf("20 seeds draw %d of %d kinds and %d overlaps, want all and at least 100", len(kinds), len(faultKinds), overlapping)
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -163,18 +163,12 @@
 
 // injectFault injects a fault, waits for its duration and ends it. It returns what it affected.
 func (c *cluster) injectFault(f *Fault) (affected int) {
-	for i := range faultKinds {
-		if faultKinds[i].name != f.Kind {
-			continue
-		}
-		c.history.RecordFault("begins: %v", f)
-		injected := faultKinds[i].inject(c, f)
-		emulator.Sleep(c.ctx, f.For)
-		injected.end()
-		c.history.RecordFault("ends: %v", f)
-		return injected.affected()
-	}
-	return 0
+	c.history.RecordFault("begins: %v", f)
+	injected := kindNamed(f.Kind).inject(c, f)
+	emulator.Sleep(c.ctx, f.For)
+	injected.end()
+	c.history.RecordFault("ends: %v", f)
+	return injected.affected()
 }
 
 // Shares of the random requests, in percent.
--- a/tools/soak/schedule.go
+++ b/tools/soak/schedule.go
@@ -39,10 +39,15 @@
 	faultDelaySpread = 1200 * time.Millisecond
 )
 
+// leaderKillPeriod is the time within which each schedule kills the leader, whichever controller that
+// is: the other faults may leave it alone for a whole run.
+const leaderKillPeriod = 25 * time.Second
+
 // Schedule draws the faults of a run from its seed. It does not depend on anything else.
 func Schedule(seed uint64, duration time.Duration, controllers int) (schedule []Fault) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	var ends []time.Duration
+	killAt := randomDuration(rng, leaderKillPeriod)
 	for at := minFaultGap; at < duration; at += minFaultGap + randomDuration(rng, faultGapSpread) {
 		active := 0
 		for _, end := range ends {
@@ -53,7 +58,12 @@
 		if active >= maxActiveFaults {
 			continue
 		}
-		f := drawFault(rng, controllers)
+		kind := &faultKinds[drawKind(rng)]
+		if at >= killAt {
+			kind = leaderKills
+			killAt += leaderKillPeriod
+		}
+		f := drawFault(rng, kind, controllers)
 		f.At, f.For = at, min(f.For, duration-at)
 		ends = append(ends, f.At+f.For)
 		schedule = append(schedule, f)
@@ -61,8 +71,7 @@
 	return schedule
 }
 
-func drawFault(rng *rand.Rand, controllers int) Fault {
-	kind := &faultKinds[drawKind(rng)]
+func drawFault(rng *rand.Rand, kind *faultKind, controllers int) Fault {
 	host := rng.IntN(controllers)
 	return Fault{
 		Kind:         kind.name,
