scheduler: knowledge from before a takeover shows no second attempt

The check now waits until the job shard is reconciled: from then on every entry is newer than the takeover.

What the traces show besides, and what is left open: the scheduler then stops the later attempt, which runs, in favour of the earlier one, which is gone; the task loses its run time, no rule is broken.

--- a/internal/scheduler/gone.go
+++ b/internal/scheduler/gone.go
@@ -72,14 +72,15 @@
 
 // checkSecondAttempt reports a violation if a reconciled entry lists an attempt that has not exited
 // although the scheduler has given it up and has begun another one. An attempt of a later scheduler
-// is none: this session has ended and does not know it yet. The caller must hold s.mu, and stops the
-// listed attempt.
+// is none: this session has ended and does not know it yet. Nor is one that is listed before the job
+// shard is reconciled: the other attempt may be known from an entry that was current before the
+// takeover. The caller must hold s.mu, and stops the listed attempt.
 func (s *Scheduler) checkSecondAttempt(entry *agentapi.MachineEntry, listed *agentapi.TaskEntry, j *jobState) {
 	task, shard := &j.tasks[listed.Index], s.shards[j.shardID]
 	if !entry.Reconciled() || !task.onMachine() || task.machine == entry.Machine {
 		return
 	}
-	if shard == nil || listed.Attempt>>epochAttemptBits > shard.epoch {
+	if shard == nil || !shard.reconciled || listed.Attempt>>epochAttemptBits > shard.epoch {
 		return
 	}
 	other := fmt.Sprintf("%s; attempt %d is on %s at revision %d, version %d",
