--- a/internal/scheduler/gone.go
+++ b/internal/scheduler/gone.go
@@ -7,6 +7,8 @@
 	"robinstack/internal/agentapi"
 	"robinstack/internal/invariant"
 	"robinstack/internal/job"
+	"robinstack/internal/shard"
+	"robinstack/internal/statekv"
 )
 
 // goneProof is the evidence on which the scheduler regards an attempt as gone, so that the task may
@@ -71,16 +73,21 @@
 }
 
 // checkSecondAttempt reports a violation if a reconciled entry lists an attempt that has not exited
-// although the scheduler has given it up and has begun another one. An attempt of a later scheduler
-// is none: this session has ended and does not know it yet. Nor is one that is listed before the job
-// shard is reconciled: the other attempt may be known from an entry that was current before the
-// takeover. The caller must hold s.mu, and stops the listed attempt.
+// although the scheduler has given it up and has begun another one. The caller must hold s.mu, and
+// stops the listed attempt.
+//
+// Outdated knowledge shows no second attempt: an attempt of a later scheduler (this session has ended
+// and does not know it yet), entries from before a takeover of the job shard, which count until it is
+// reconciled, and entries of former owners, also of machines that have been deleted since.
 func (s *Scheduler) checkSecondAttempt(entry *agentapi.MachineEntry, listed *agentapi.TaskEntry, j *jobState) {
-	task, shard := &j.tasks[listed.Index], s.shards[j.shardID]
+	task, held := &j.tasks[listed.Index], s.shards[j.shardID]
 	if !entry.Reconciled() || !task.onMachine() || task.machine == entry.Machine {
 		return
 	}
-	if shard == nil || !shard.reconciled || listed.Attempt>>epochAttemptBits > shard.epoch {
+	if held == nil || !held.reconciled || listed.Attempt>>epochAttemptBits > held.epoch {
+		return
+	}
+	if !s.isPresentOwnership(entry.Machine, entry.Rev) || !s.isPresentOwnership(task.machine, task.ownerRev) {
 		return
 	}
 	other := fmt.Sprintf("%s; attempt %d is on %s at revision %d, version %d",
@@ -90,3 +97,11 @@
 		Revision: entry.Rev, Version: entry.Ver, Reason: other,
 	})
 }
+
+// isPresentOwnership reports whether the mirror shows that the machine is registered and that its
+// present ownership has the given revision.
+func (s *Scheduler) isPresentOwnership(machine string, rev uint64) bool {
+	kv, registered := s.mirror.Get(statekv.MachinePrefix + machine)
+	_, present := shard.OwnerOf(s.mirror, kv)
+	return registered && present == rev
+}
--- a/internal/scheduler/gone_test.go
+++ b/internal/scheduler/gone_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
+	"robinstack/emulator"
 	"robinstack/internal/agentapi"
 	"robinstack/internal/invariant"
 	"robinstack/internal/job"
+	"robinstack/internal/shard"
+	"robinstack/internal/statekv"
 )
 
 // Guards against a task that is given up, and so started again elsewhere, without a proof that it is gone.
@@ -32,28 +36,45 @@
 // Guards against a second attempt that is not reported, and against outdated knowledge that is reported as one.
 func TestSecondAttemptIsReportedUnlessKnowledgeIsOlder(t *testing.T) {
 	held := &jobShard{epoch: 5, reconciled: true}
-	s := &Scheduler{shards: map[string]*jobShard{"s": held}}
+	state := emulator.NewStateService()
+	ops := []statekv.Op{{Set: statekv.MachineShardPrefix + "h.1", Value: shard.Record{}}}
+	for _, machine := range []string{"m1", "m2"} {
+		ops = append(ops, statekv.Op{Set: statekv.MachinePrefix + machine, Value: shard.MachineRecord{Shard: "h.1"}})
+	}
+	rev, err := state.Txn(t.Context(), nil, ops)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mirror := statekv.NewMirror(state, []string{statekv.ClusterPrefix}, statekv.RootPrefix, time.Second, 0, nil)
+	if err := mirror.Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	s := &Scheduler{mirror: mirror, shards: map[string]*jobShard{"s": held}}
 	j := &jobState{spec: &job.Spec{ID: "wk-1", Shape: job.Array, Tasks: 1}, shardID: "s", tasks: make([]taskState, 1)}
 	j.tasks[0].beginAttempt(5<<epochAttemptBits+2, "a")
-	j.tasks[0].markPlaced("m1", "a", 3, 1)
+	j.tasks[0].markPlaced("m1", "a", rev, 1)
 	for _, c := range []struct {
+		machine    string
+		rev        uint64
 		attempt    uint64
 		reconciled bool
 		violations int64
 	}{
-		{5<<epochAttemptBits + 1, true, 1},
-		{4<<epochAttemptBits + 9, true, 1},
-		{5<<epochAttemptBits + 1, false, 0},
-		{6<<epochAttemptBits + 1, true, 0},
+		{"m2", rev, 5<<epochAttemptBits + 1, true, 1},
+		{"m2", rev, 4<<epochAttemptBits + 9, true, 1},
+		{"m2", rev, 5<<epochAttemptBits + 1, false, 0},
+		{"m2", rev, 6<<epochAttemptBits + 1, true, 0},
+		{"m2", rev - 1, 5<<epochAttemptBits + 1, true, 0},
+		{"deleted", rev, 5<<epochAttemptBits + 1, true, 0},
 	} {
-		entry := agentapi.MachineEntry{Machine: "m2", Rev: 4, Ver: 1, Settled: c.reconciled}
+		entry := agentapi.MachineEntry{Machine: c.machine, Rev: c.rev, Ver: 1, Settled: c.reconciled}
 		s.checkSecondAttempt(&entry, &agentapi.TaskEntry{TaskRef: agentapi.TaskRef{Job: "wk-1", Attempt: c.attempt}}, j)
 		if got := invariant.Reset(); got != c.violations {
-			t.Errorf("attempt %d, reconciled %t: got %d violations, want %d", c.attempt, c.reconciled, got, c.violations)
+			t.Errorf("%+v: got %d violations", c, got)
 		}
 	}
 	held.reconciled = false
-	entry := agentapi.MachineEntry{Machine: "m2", Rev: 4, Ver: 1, Settled: true}
+	entry := agentapi.MachineEntry{Machine: "m2", Rev: rev, Ver: 1, Settled: true}
 	s.checkSecondAttempt(&entry, &agentapi.TaskEntry{TaskRef: agentapi.TaskRef{Job: "wk-1", Attempt: 5<<epochAttemptBits + 1}}, j)
 	if got := invariant.Reset(); got != 0 {
 		t.Errorf("before the job shard is reconciled: got %d violations, want none", got)
