leader: drop the versions of deleted machines

They go with the machine from the ledger now. TestVersionsOfDeletedMachinesAreDropped fails without it.

--- a/internal/leader/confirmation_test.go
+++ b/internal/leader/confirmation_test.go
@@ -99,3 +99,17 @@
 		t.Errorf("got %v GPUs in use after the plan, want 8", usage["t"].GPUs)
 	}
 }
+
+// Guards against versions of deleted machines that are kept for as long as the session lasts.
+func TestVersionsOfDeletedMachinesAreDropped(t *testing.T) {
+	l, _ := newLeader(t, t.Context())
+	l.OnEntries([]agentapi.MachineEntry{{Machine: "m1", Rev: 2, Ver: 1}, {Machine: "m2", Rev: 2, Ver: 2}})
+	l.OnEntries([]agentapi.MachineEntry{{Machine: "m1", Rev: 2, Ver: 3, Gone: true}})
+	if len(l.appliedEntries) != 1 {
+		t.Errorf("after m1 is deregistered: got versions %v, want that of m2", l.appliedEntries)
+	}
+	l.plan(time.Now()) // the feed has no entry of m2
+	if len(l.appliedEntries) != 0 {
+		t.Errorf("after a plan without m2: got versions %v, want none", l.appliedEntries)
+	}
+}
--- a/internal/leader/ledger.go
+++ b/internal/leader/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"strings"
 	"time"
 
@@ -67,11 +68,22 @@
 // applyEntry updates the ledger from an entry, unless a later entry of the machine has been applied.
 // The caller must hold l.mu.
 func (l *Leader) applyEntry(entry *agentapi.MachineEntry) {
-	if l.appliedEntries.Admit(entry) {
-		l.ledger.Apply(entry)
+	if !l.appliedEntries.Admit(entry) {
+		return
+	}
+	l.ledger.Apply(entry)
+	if entry.Gone {
+		delete(l.appliedEntries, entry.Machine)
 	}
 }
 
+// retainMachines drops the machines that are not in present from the ledger. The caller must hold
+// l.mu, and must have held it since present was read from the feed.
+func (l *Leader) retainMachines(present map[string]bool) {
+	l.ledger.RetainMachines(present)
+	maps.DeleteFunc(l.appliedEntries, func(machine string, _ agentapi.EntryVersion) bool { return !present[machine] })
+}
+
 // quotaSnapshot returns the state that grant decisions are based on. It shares maps with l: the
 // caller must hold l.mu while it uses the snapshot.
 func (l *Leader) quotaSnapshot(now time.Time) *quota.Snapshot {
--- a/internal/leader/scaling.go
+++ b/internal/leader/scaling.go
@@ -75,7 +75,7 @@
 	snapshot.Epoch, snapshot.Demand = l.epoch, l.demand
 	snapshot.LedgerMachines = l.ledger.MachineCount()
 	inventory := l.fleet.BuildInventory(snapshot)
-	l.ledger.RetainMachines(inventory.Present)
+	l.retainMachines(inventory.Present)
 	if now.Sub(l.recomputedAt) > recomputeInterval {
 		l.recomputedAt = now
 		l.ledger.Recompute()
