clusteragent: one log line for each message that starts tasks, written without the lock

A message mostly starts several tasks of one job; it is one line now (task starts sent, with the attempts), written after the mutex is released. An attempt that exited is logged once, with its cause.

--- a/internal/clusteragent/commands.go
+++ b/internal/clusteragent/commands.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
+	"robinstack/internal/logline"
 	"robinstack/internal/worker"
 )
 
@@ -42,13 +46,18 @@
 
 // commandBatch is a message with commands that is about to be sent to a worker.
 type commandBatch struct {
-	sentAt     time.Time
-	address    string
-	token      uint64
-	epoch      uint64
-	commands   []worker.Command
-	timeout    time.Duration // 0: the client's own timeout
-	retryDelay time.Duration // delay before the next message if this one gets no reply
+	sentAt time.Time
+	// Under which ownership the message is sent, and how recent this controller's view of the state
+	// service is, for the log.
+	ownershipRev   uint64
+	stateRev       uint64
+	stateFreshAsOf time.Time
+	address        string
+	token          uint64
+	epoch          uint64
+	commands       []worker.Command
+	timeout        time.Duration // 0: the client's own timeout
+	retryDelay     time.Duration // delay before the next message if this one gets no reply
 }
 
 // sendDueCommands sends the due commands and applies the machine state in the reply. It reports
@@ -63,6 +72,9 @@
 		ctx, cancel = context.WithTimeout(ctx, batch.timeout)
 		defer cancel()
 	}
+	if batch.startsTasks() {
+		batch.logStarts(m.Name)
+	}
 	state, executed, err := a.workers.Send(ctx, batch.address, batch.token, batch.epoch, batch.commands)
 
 	a.mu.Lock()
@@ -92,9 +104,9 @@
 	if len(commands) == 0 && !m.Ownership.Unfenced() {
 		return batch, false
 	}
-	a.logStarts(m, commands, now)
 	batch = commandBatch{
-		sentAt: now, address: m.Address, token: m.Ownership.Token(), epoch: max(m.Liveness.Epoch(), 1),
+		sentAt: now, ownershipRev: m.Ownership.Rev, stateRev: a.mirror.Rev(), stateFreshAsOf: a.mirror.FreshAsOf(),
+		address: m.Address, token: m.Ownership.Token(), epoch: max(m.Liveness.Epoch(), 1),
 		commands: commands, retryDelay: commandRetryDelay,
 	}
 	if !m.Ownership.Reconciled() {
@@ -106,16 +118,23 @@
 	return batch, true
 }
 
-// logStarts logs under which right the starts among the commands are sent: ownership revision, fencing
-// token and worker epoch, and how old the view of the state service is. The caller must hold a.mu.
-func (a *Agent) logStarts(m *ownedMachine, commands []worker.Command, now time.Time) {
-	for i := range commands {
-		if c := &commands[i]; c.Op == worker.OpStart {
-			slog.Info("task start sent", "task", c.Task, "attempt", c.Attempt, "machine", m.Name,
-				"revision", m.Ownership.Rev, "token", m.Ownership.Token(), "epoch", m.Liveness.Epoch(),
-				"state_revision", a.mirror.Rev(), "state_age", now.Sub(a.mirror.FreshAsOf()).Round(time.Millisecond))
+// startsTasks reports whether any of the commands starts a task.
+func (b *commandBatch) startsTasks() bool {
+	return slices.ContainsFunc(b.commands, func(c worker.Command) bool { return c.Op == worker.OpStart })
+}
+
+// logStarts logs, in one line for each message, which tasks it starts on a machine and under which
+// right: ownership revision, fencing token and worker epoch.
+func (b *commandBatch) logStarts(machineName string) {
+	var tasks []string
+	for _, c := range b.commands {
+		if c.Op == worker.OpStart {
+			tasks = append(tasks, c.Task+":"+strconv.FormatUint(c.Attempt, 10))
 		}
 	}
+	slog.Info(logline.TaskStartsSent, "tasks", strings.Join(tasks, " "), "machine", machineName,
+		"revision", b.ownershipRev, "token", b.token, "epoch", b.epoch,
+		"state_revision", b.stateRev, "state_age", b.sentAt.Sub(b.stateFreshAsOf).Round(time.Millisecond))
 }
 
 // handleCommandFailure records that a message got no reply. The message may still arrive; raising
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -30,6 +30,9 @@
 	// TaskFinished: a task left its machine or its owner lost the machine; the line has the time of
 	// each phase.
 	TaskFinished = "task finished on machine"
+	// TaskStartsSent: the owner of a machine sent its worker a message that starts tasks; the line lists
+	// them as task:attempt.
+	TaskStartsSent = "task starts sent"
 	// InvariantViolated: a condition that the code relies on does not hold.
 	InvariantViolated = "invariant violated"
 	// MachineTypePrice: the price and capacity of a machine type.
--- a/internal/logline/renames.go
+++ b/internal/logline/renames.go
@@ -27,7 +27,7 @@
 	{Old: "state mirror loaded", New: "state mirror loaded"},
 	{Old: "worker lease expired", New: "worker lease expired"},
 	{Old: "task gone from machine", New: "task gone from machine"},
-	{Old: "task start sent", New: "task start sent"},
+	{Old: "task starts sent", New: TaskStartsSent},
 	{Old: "task attempt gone", New: "task attempt gone"},
 
 	// invariant
--- a/internal/scheduler/gone.go
+++ b/internal/scheduler/gone.go
@@ -61,8 +61,10 @@
 		})
 		return
 	}
-	slog.Info("task attempt gone", "task", job.TaskID(j.spec.ID, index), "attempt", task.attempt,
-		"machine", task.machine, "proof", string(proof), "revision", task.ownerRev, "version", task.entryVersion)
+	if proof != attemptExited { // which is logged with its cause
+		slog.Info("task attempt gone", "task", job.TaskID(j.spec.ID, index), "attempt", task.attempt,
+			"machine", task.machine, "proof", string(proof), "revision", task.ownerRev, "version", task.entryVersion)
+	}
 	s.counters.Lost++
 	s.resetTask(j, index)
 	if j.isGang() && !j.isFinished() {
--- a/tools/audit/follow.go
+++ b/tools/audit/follow.go
@@ -68,12 +68,11 @@
 
 // selectLines returns the lines, which are in order of time, that concern the task.
 func selectLines(lines []parsedLine, task, jobID string) (followed []FollowedLine) {
-	concernsTask := func(l *parsedLine) bool { return l.fields["task"] == task || l.fields["job"] == jobID }
 	machines := map[string]bool{}
 	var first, last time.Time
 	for i := range lines {
 		l := &lines[i]
-		if !concernsTask(l) {
+		if !l.names(task, jobID) {
 			continue
 		}
 		if first.IsZero() {
@@ -87,14 +86,20 @@
 	for i := range lines {
 		l := &lines[i]
 		inTime := !l.At.Before(first.Add(-followMargin)) && !l.At.After(last.Add(followMargin))
-		aboutMachine := machines[l.fields["machine"]] && l.fields["task"] == ""
-		if concernsTask(l) || inTime && !first.IsZero() && (aboutMachine || contextMessages[l.message]) {
+		aboutMachine := machines[l.fields["machine"]] && l.fields["task"] == "" && l.fields["tasks"] == ""
+		if l.names(task, jobID) || inTime && !first.IsZero() && (aboutMachine || contextMessages[l.message]) {
 			followed = append(followed, l.FollowedLine)
 		}
 	}
 	return followed
 }
 
+// names reports whether the line names the task or its job.
+func (l *parsedLine) names(task, jobID string) bool {
+	started := l.message == logline.TaskStartsSent && strings.Contains(l.fields["tasks"], task+":")
+	return l.fields["task"] == task || l.fields["job"] == jobID || started
+}
+
 // parseLog reads the lines that a controller wrote, and skips all others.
 func parseLog(log *NamedLog) (parsed []parsedLine, err error) {
 	lines := bufio.NewScanner(log)
--- a/tools/audit/follow_test.go
+++ b/tools/audit/follow_test.go
@@ -15,7 +15,8 @@
 not a log line
 `)}
 	second := NamedLog{"host-1", strings.NewReader(`
-time=2026-01-01T00:00:02.050Z level=INFO msg="task start sent" task=wk-1/0 attempt=7 machine=vm-1 token=5
+time=2026-01-01T00:00:02.050Z level=INFO msg="task starts sent" tasks="wk-1/0:7 wk-2/0:9" machine=vm-1 token=5
+time=2026-01-01T00:00:02.060Z level=INFO msg="task starts sent" tasks=wk-11/0:9 machine=vm-1 token=5
 time=2026-01-01T00:00:05.000Z level=INFO msg="machine unresponsive" machine=vm-1 duration_s=4
 time=2026-01-01T00:00:06.000Z level=INFO msg="machine unresponsive" machine=vm-2 duration_s=4
 time=2026-01-01T00:10:00.000Z level=INFO msg="leader elected" epoch=9
@@ -24,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := []string{"host-0 leader elected", "host-0 task committed", "host-1 task start sent",
+	want := []string{"host-0 leader elected", "host-0 task committed", "host-1 task starts sent",
 		"host-1 machine unresponsive", "host-0 task attempt gone"}
 	if len(lines) != len(want) {
 		t.Fatalf("got %d lines %v, want %v", len(lines), lines, want)
