Review case 1: a spread gang starts in one zone while its owner is refused

The state service refuses one controller alone; a gang whose tasks have to be in different zones then starts with both in one zone (wrong_place).

--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,77 @@
+// Command standin plays the platform, the workers and the users for the cases of the review, and
+// starts the controllers as separate processes. It writes a record and exits with 1 if the rule of
+// the case was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0 in the
+// environment it leaves out the disruption.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Exit codes.
+const (
+	ruleHeld = iota
+	ruleBroken
+	couldNotRun
+)
+
+// runLimit ends a case that takes too long.
+const runLimit = 118 * time.Second
+
+// scenario plays one case. It returns errBroken if the rule was broken.
+type scenario func(ctx context.Context, c *cluster, trouble bool) error
+
+var errBroken = errors.New("the rule was broken")
+
+var scenarios = map[string]scenario{
+	"refused": refusedOwner,
+	"crash":   crashWithSplitJob,
+	"spread":  spreadGang,
+	"onezone": oneZoneArrays,
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	name := flag.String("case", "", "name of the case")
+	directory := flag.String("dir", "", "folder of the case, which gets the record")
+	program := flag.String("program", "target/robinstack", "program of the controllers")
+	flag.Parse()
+	play := scenarios[*name]
+	if play == nil {
+		fmt.Fprintf(os.Stderr, "unknown case %q\n", *name)
+		return couldNotRun
+	}
+	r, err := newRecord(filepath.Join(*directory, "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return couldNotRun
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	r.add("case %s, with the disruption: %t", *name, trouble)
+	ctx, cancel := context.WithTimeout(context.Background(), runLimit)
+	defer cancel()
+	c, err := startCluster(ctx, r, *program)
+	defer c.stop()
+	if err == nil {
+		err = play(ctx, c, trouble)
+	}
+	switch {
+	case err == nil:
+		r.add("result: the rule held")
+		return ruleHeld
+	case errors.Is(err, errBroken):
+		r.add("result: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return ruleBroken
+	}
+	r.add("result: the case could not run: %v", err)
+	fmt.Fprintln(os.Stderr, err)
+	return couldNotRun
+}
