--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the review's cases: platform, workers and users, in one program.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-standin ./review/standin
+go test -c -o target/review-standin ./review/standin
--- a/review/standin/job.go
+++ b/review/standin/job_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import "time"
 
--- a/review/standin/main.go
+++ b/review/standin/main_test.go
@@ -1,8 +1,11 @@
-// Command standin plays the platform, the workers and the users for the cases of the review, and
+// Package standin plays the platform, the workers and the users for the cases of the review, and
 // starts the controllers as separate processes. It writes a record and exits with 1 if the rule of
 // the case was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0 in the
 // environment it leaves out the disruption.
-package main
+//
+// The package has test files only, because it is no part of what the project ships: build.sh builds
+// it as a test program. Without -case, that program has nothing to do.
+package standin
 
 import (
 	"context"
@@ -11,6 +14,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"testing"
 	"time"
 )
 
@@ -36,28 +40,33 @@
 	"onezone": oneZoneArrays,
 }
 
-func main() { os.Exit(run()) }
-
-func run() int {
+func TestMain(m *testing.M) {
 	name := flag.String("case", "", "name of the case")
 	directory := flag.String("dir", "", "folder of the case, which gets the record")
 	program := flag.String("program", "target/robinstack", "program of the controllers")
 	flag.Parse()
-	play := scenarios[*name]
+	if *name == "" {
+		os.Exit(m.Run())
+	}
+	os.Exit(run(*name, *directory, *program))
+}
+
+func run(name, directory, program string) int {
+	play := scenarios[name]
 	if play == nil {
-		fmt.Fprintf(os.Stderr, "unknown case %q\n", *name)
+		fmt.Fprintf(os.Stderr, "unknown case %q\n", name)
 		return couldNotRun
 	}
-	r, err := newRecord(filepath.Join(*directory, "record.txt"))
+	r, err := newRecord(filepath.Join(directory, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return couldNotRun
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	r.add("case %s, with the disruption: %t", *name, trouble)
+	r.add("case %s, with the disruption: %t", name, trouble)
 	ctx, cancel := context.WithTimeout(context.Background(), runLimit)
 	defer cancel()
-	c, err := startCluster(ctx, r, *program)
+	c, err := startCluster(ctx, r, program)
 	defer c.stop()
 	if err == nil {
 		err = play(ctx, c, trouble)
