scheduler: follow the later of two attempts, whichever is listed first

Cause: a task has one attempt in the scheduler, and the first one that an entry showed won. After a takeover entries arrive in any order, and some are outdated: a late copy of a heartbeat reaches the new owner first, or a feed had not seen what the crashed controller did last. If an outdated entry showed an earlier attempt and the next one the attempt that ran, the running one was to be stopped and the earlier one was kept. As soon as the earlier one was proven gone, the task was pending and was started a third time, while nothing proved that the running one had been stopped: its stop is sent once, after up to 0.2 s, to the owner that the feed knows, and is not repeated if it is lost. With many machines, confirmations come in batches of hundreds, so both entries are often applied in one pass and the start is sent before the stop.

Evidence: TestRunningAttemptIsNotRestartedForAnEarlierOne fails on the sources before with "task wk-1/0 is on [m1 m2], want one machine", every time. It uses a late copy of a heartbeat, a crash of the scheduler and a lost stop.

Why the fix works: a scheduler begins an attempt only once all earlier ones are proven gone, and attempt numbers rise, also from scheduler to scheduler. A listed attempt that is later than the known one therefore proves the known one gone, and is followed; an earlier one is stopped. The order in which entries arrive does not matter any more. The check for a second attempt covers both cases, as before.

--- /dev/null
+++ b/internal/scheduler/attempt_order_test.go
@@ -0,0 +1,62 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"robinstack/emulator"
+	"robinstack/internal/job"
+	"robinstack/internal/worker"
+)
+
+// checkRunsOnce fails the test if any task is on more than one machine.
+func (checker *invariantChecker) checkRunsOnce() {
+	checker.t.Helper()
+	for task, machines := range checker.machinesByTask() {
+		if len(machines) > 1 {
+			checker.t.Fatalf("task %s is on %v, want one machine", task, machines)
+		}
+	}
+}
+
+// Invariant ran_twice: after a takeover, an earlier attempt is gone while the later one runs and its stop is lost.
+func TestRunningAttemptIsNotRestartedForAnEarlierOne(t *testing.T) {
+	runScenario(t, func(cluster *testCluster) {
+		first := cluster.start("host-0")
+		cluster.advance(3 * time.Second)
+		cluster.submit(first, newSpec("wk-1", job.Array, 1, 2))
+		cluster.advance(3 * time.Second)
+		earlier, later := cluster.machines[0], cluster.machines[1]
+		if !cluster.wasStartedOn(0, "wk-1/0") {
+			earlier, later = later, earlier
+		}
+		delayedHeartbeat := cluster.workers.NextHeartbeat(earlier)
+		cluster.workers.EndTask(earlier, "wk-1/0", worker.CauseFailed) // the job avoids this machine from now on
+		cluster.advance(6 * time.Second)
+		if n := cluster.countStarts("wk-1"); n != 2 {
+			t.Fatalf("got %d starts before the crash, want 2", n)
+		}
+		setHold := func(hold bool, machine *emulator.Worker) {
+			cluster.workers.WithLock(func() { machine.HoldCommands = hold })
+		}
+		setHold(true, earlier)
+		setHold(true, later)
+		cluster.dropsStops = true
+		cluster.crash(first, 1)
+		second := cluster.start("host-1")
+		time.Sleep(3 * time.Second) // host-1 has taken over
+		second.agent.Heartbeat(cluster.ctx, &delayedHeartbeat)
+		time.Sleep(500 * time.Millisecond)
+		setHold(false, later)
+		time.Sleep(time.Second)
+		setHold(false, earlier)
+		checker := newInvariantChecker(cluster)
+		for range 10 {
+			cluster.advance(time.Second)
+			checker.checkRunsOnce()
+		}
+		if n := cluster.countStarts("wk-1"); n != 2 {
+			t.Fatalf("got %d starts, want the 2 from before the crash", n)
+		}
+	})
+}
--- a/internal/scheduler/gone.go
+++ b/internal/scheduler/gone.go
@@ -27,6 +27,8 @@
 	machineDeregistered goneProof = "machine is deregistered"
 	// machineKeyRemoved: the mirror shows that the machine's key has been removed.
 	machineKeyRemoved goneProof = "machine key is removed"
+	// laterAttemptListed: an entry lists a later attempt at the task.
+	laterAttemptListed goneProof = "a later attempt is listed"
 	// attemptExited: an entry shows that the attempt has exited.
 	attemptExited goneProof = "it has exited"
 	// startAbandoned: the owner has neither the attempt nor will it ever start it.
@@ -75,8 +77,8 @@
 }
 
 // checkSecondAttempt reports a violation if a reconciled entry lists an attempt that has not exited
-// although the scheduler has given it up and has begun another one. The caller must hold s.mu, and
-// stops the listed attempt.
+// although the task's attempt is on another machine. The caller must hold s.mu, and follows the later
+// of the two attempts.
 //
 // Outdated knowledge shows no second attempt: an attempt of a later scheduler (this session has ended
 // and does not know it yet), entries from before a takeover of the job shard, which count until it is
--- a/internal/scheduler/machine_entries.go
+++ b/internal/scheduler/machine_entries.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"log/slog"
 	"time"
 
 	"robinstack/internal/agentapi"
@@ -70,19 +71,15 @@
 	if s.onAttemptWithResult(listed, j, item) {
 		return
 	}
-	pending := task.status == taskPending
-	if pending && ended || !pending && task.attempt != listed.Attempt {
+	if !ended {
+		s.checkSecondAttempt(entry, listed, j)
+	}
+	if task.supersedes(listed.Attempt) || task.status == taskPending && ended {
 		// The attempt was given up as lost, but it was started after all.
-		if !ended {
-			s.checkSecondAttempt(entry, listed, j)
-		}
 		s.queueForget(item)
 		return
 	}
-	if pending {
-		j.attempts = max(j.attempts, listed.Attempt)
-		task.attempt = listed.Attempt
-	}
+	s.followAttempt(j, listed)
 	j.started, j.reserving = true, false
 	task.markPlaced(entry.Machine, entry.Zone, entry.Rev, entry.Ver)
 	task.reportedState = listed.State
@@ -99,6 +96,24 @@
 	}
 }
 
+// followAttempt makes a listed attempt the task's attempt, unless it is that already: the task is
+// pending, or the listed attempt is a later one, which proves the task's attempt gone. The caller must
+// hold s.mu.
+func (s *Scheduler) followAttempt(j *jobState, listed *agentapi.TaskEntry) {
+	task := &j.tasks[listed.Index]
+	if task.status != taskPending && task.attempt == listed.Attempt {
+		return
+	}
+	if task.onMachine() {
+		slog.Info("task attempt gone", "task", job.TaskID(listed.Job, listed.Index), "attempt", task.attempt,
+			"machine", task.machine, "proof", string(laterAttemptListed), "revision", task.ownerRev,
+			"version", task.entryVersion)
+	}
+	s.resetTask(j, listed.Index)
+	j.attempts = max(j.attempts, listed.Attempt)
+	task.attempt = listed.Attempt
+}
+
 // onAttemptWithResult handles an attempt that completed its task, and attempts at tasks or jobs
 // that already have a result. It reports whether the attempt needs no further handling. The caller
 // must hold s.mu.
--- a/internal/scheduler/task_state.go
+++ b/internal/scheduler/task_state.go
@@ -41,8 +41,8 @@
 
 // transition is the only place where status changes: pending, committing, placed, stopping, and
 // back to pending from each of them. A pending task becomes placed directly when a machine entry
-// shows an attempt that another controller placed. A stopping task remains so until it is gone,
-// whatever entries show.
+// shows an attempt that another controller placed, and so does a task whose attempt is superseded
+// by a later one. A stopping attempt remains so until it is gone, whatever entries show of it.
 func (t *taskState) transition(to taskStatus) {
 	switch {
 	case to == taskPending:
@@ -73,6 +73,13 @@
 	return t.status == taskPlaced || t.status == taskStopping
 }
 
+// supersedes reports whether an attempt that a machine lists must give way to the task's attempt.
+// A scheduler begins an attempt only once all earlier ones are proven gone, so a listed attempt that
+// is later than the task's proves the task's attempt gone, in whatever order the entries arrive.
+func (t *taskState) supersedes(attempt uint64) bool {
+	return t.status != taskPending && t.attempt > attempt
+}
+
 // isPlacedAttempt reports whether the given attempt is the one that a machine has or may have.
 func (t *taskState) isPlacedAttempt(attempt uint64) bool {
 	return t.onMachine() && t.attempt == attempt
