scheduler: apply an entry that arrived before the answer to its commit

What users saw: a task that waits although machines have room, in theory for as long as its machine does not change.

Cause: the answer to a commit says from which version on an entry without the attempt proves it gone. If that entry arrived before the answer, the attempt was not yet placed, so the entry proved nothing; after the answer the scheduler waited for the next change of the machine. It needs an attempt that is lost before any entry lists it, within 60 ms, and an answer that takes longer than the entry.

Evidence: TestTaskIsRestartedIfItsLossIsShownBeforeTheCommitIsAnswered fails before with "got 0 starts after the worker forgot the first one, want 1".

Why the fix works: after the answer the latest entry is applied again if it is not older than the commit; applying an entry twice has no effect. Usually the answer is first, and nothing is applied.

--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -49,6 +49,8 @@
 
 	entryDelay time.Duration // time from the receipt of machine entries until the scheduler gets them
 
+	commitAnswerDelay time.Duration // time from the answer to a commit until the scheduler gets it
+
 	commitLoss  commitLoss // what is lost of the next commits
 	lossesLeft  int        // number of commits that are still to be lost
 	released    int        // number of released quota grants
@@ -323,7 +325,9 @@
 		}
 		return peer.ErrNoAnswer
 	}
-	return controller.service.Commit(request, reply)
+	err := controller.service.Commit(request, reply)
+	time.Sleep(cluster.commitAnswerDelay)
+	return err
 }
 
 // grantQuota answers as a leader that knows one quota: the team "full" has grantsLeft tasks left.
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -270,6 +270,7 @@
 			"task", job.TaskID(b.ref.Job, b.ref.Index), "attempt", b.ref.Attempt,
 			"machine", machine.Machine, "result", b.result, "image_cached", machine.Image,
 			"age", time.Since(j.submittedAt).Round(time.Millisecond))
+		s.applyEntrySince(machine.Machine, agentapi.EntryVersion{Rev: reply.Rev, Ver: reply.Ver})
 	case agentapi.Refused:
 		if task.isPlacedAttempt(b.ref.Attempt) {
 			// A machine entry has already shown the attempt; a later entry will show its end.
@@ -277,3 +278,12 @@
 		}
 	}
 }
+
+// applyEntrySince applies the latest entry of a machine if it is not older than the version of a
+// commit: an entry that arrived before the answer to the commit may already show that the attempt is
+// gone, and the next one may be a long time off. The caller must hold s.mu.
+func (s *Scheduler) applyEntrySince(machine string, version agentapi.EntryVersion) {
+	if entry := s.feed.LastEntry(machine); !entry.Version().Before(version) {
+		s.onEntry(&entry)
+	}
+}
--- a/internal/scheduler/commit_resolution_test.go
+++ b/internal/scheduler/commit_resolution_test.go
@@ -87,3 +87,24 @@
 		}
 	})
 }
+
+// Guards against a task that waits for ever: the entry without its attempt arrives before the answer to the commit.
+func TestTaskIsRestartedIfItsLossIsShownBeforeTheCommitIsAnswered(t *testing.T) {
+	runScenario(t, func(cluster *testCluster) {
+		cluster.machines = cluster.machines[:1]
+		controller := cluster.start("host-0")
+		cluster.advance(3 * time.Second)
+		machine := cluster.machines[0]
+		cluster.workers.WithLock(func() { machine.HoldCommands = true })
+		cluster.commitAnswerDelay = 3 * time.Second
+		cluster.submit(controller, newSpec("wk-1", job.Array, 1, 1))
+		time.Sleep(30 * time.Millisecond) // entries are sent 60 ms after a change, so none lists the start
+		cluster.workers.WithLock(func() { machine.HoldCommands, machine.Heartbeat.WorkerEpoch = false, 2 })
+		heartbeat := cluster.workers.NextHeartbeat(machine)
+		controller.agent.Heartbeat(cluster.ctx, &heartbeat)
+		cluster.advance(30 * time.Second)
+		if n := cluster.countStarts("wk-1"); n != 1 {
+			t.Fatalf("got %d starts after the worker forgot the first one, want 1", n)
+		}
+	})
+}
