An attempt that entries may list is committed to no second machine

What users saw: a task on two machines at once (rule ran_twice), without any fault of a controller; and too small a use of a quota, which the leader then grants again (rule quota).

Cause: when the worker refused a start (no room, another attempt, unknown task), or a start was withdrawn or its worker began a new epoch, the owner answered the commit "refused", and MultiBind committed the same attempt to the next candidate. But the entry of the first machine lists that attempt, as ended. If it reached the scheduler after the start elsewhere, the scheduler took the end for that of the attempt that runs, the task was pending and was started again. The order is a matter of chance between two owners; within one owner entries come in order. The same entry released the attempt's grant in the quota ledger while the attempt ran.

Why the fix works: whether an attempt may be tried elsewhere is decided by its owner, and "refused" now means that no entry has listed the attempt. In all other cases the answer is "unresolved", and the entry decides, as for commits without an answer; the task then gets a new attempt.

--- a/emulator/workers.go
+++ b/emulator/workers.go
@@ -22,6 +22,7 @@
 	Heartbeat      worker.Heartbeat // the last heartbeat, with the current tasks
 	HoldCommands   bool             // commands get no response and are executed by DeliverHeldCommands
 	CommandsToLose int              // number of upcoming command requests that are lost
+	StartsToRefuse int              // number of upcoming starts that are refused for want of free resources
 	Started        []string         // ids of all tasks started, in order
 
 	heldCommands []func()
@@ -107,6 +108,10 @@
 func (w *Worker) executeCommand(c worker.Command) {
 	h, index := &w.Heartbeat, w.indexOfAttempt(c)
 	switch {
+	case c.Op == opStart && index < 0 && w.StartsToRefuse > 0:
+		w.StartsToRefuse--
+		refused := worker.Task{ID: c.Task, Attempt: c.Attempt, State: worker.TaskExited, Cause: worker.CauseNoCapacity}
+		h.Tasks = append(h.Tasks, refused)
 	case c.Op == opStart && index < 0:
 		w.Started = append(w.Started, c.Task)
 		h.Tasks = append(h.Tasks, worker.Task{ID: c.Task, Attempt: c.Attempt, State: worker.TaskRunning})
--- a/internal/agentapi/messages.go
+++ b/internal/agentapi/messages.go
@@ -87,7 +87,7 @@
 const (
 	Started    = "started"   // a heartbeat has listed the task
 	Held       = "held"      // capacity is reserved for the task
-	Refused    = "refused"   // the task has not been started and will not be
+	Refused    = "refused"   // the task has not been and will not be started, and no entry has listed the attempt
 	Unresolved = "unsettled" // the outcome is unknown; a later entry of the machine will show it
 )
 
--- a/internal/clusteragent/commit_test.go
+++ b/internal/clusteragent/commit_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"robinstack/emulator"
 	"robinstack/internal/agentapi"
 	"robinstack/internal/job"
 	"robinstack/internal/worker"
@@ -167,3 +168,31 @@
 		}
 	})
 }
+
+// Guards against ran_twice: an attempt that entries list is answered as refused, and committed to another machine too.
+func TestStartThatEntriesListIsNeverAnsweredAsRefused(t *testing.T) {
+	for name, prevent := range map[string]func(n *node, w *emulator.Worker, epoch uint64){
+		"refused by the worker": func(_ *node, w *emulator.Worker, _ uint64) { w.StartsToRefuse = 1 },
+		"withdrawn before it is sent": func(n *node, w *emulator.Worker, epoch uint64) {
+			w.CommandsToLose = 1
+			go n.commit("m1", "s", epoch, 1, 2) // keeps the sender busy
+			time.AfterFunc(100*time.Millisecond, func() { n.agent.StopCancelledJob("wk-1") })
+			time.Sleep(50 * time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, func(t *testing.T, bed *testbed) {
+				n, w, epoch := bed.startOwner()
+				n.sendHeartbeat(w)
+				prevent(n, w, epoch)
+				if got := n.commit("m1", "s", epoch, 0, 1); got != agentapi.Unresolved {
+					t.Errorf("got result %q, want %q", got, agentapi.Unresolved)
+				}
+				if entry := n.entries()["m1"]; bed.taskCount(w) > 0 && len(entry.Tasks) == 0 {
+					t.Errorf("got entry %+v, want it to list the start", entry)
+				}
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/machine/gone.go
+++ b/internal/machine/gone.go
@@ -28,9 +28,9 @@
 	MachineDeleted GoneProof = "machine was deleted"
 )
 
-// removeGone removes a task that the proof shows to be gone: a commit that waits for its start is
-// refused, so that the scheduler may start the task elsewhere. This is the only way in which a task
-// leaves a machine that stays owned. If the proof's condition does not hold, the task is kept, which
+// removeGone removes a task that the proof shows to be gone. A commit that waits for its start is left
+// unresolved, because entries have shown the attempt; the next entry shows the scheduler that it may
+// start the task elsewhere. This is the only way in which a task leaves a machine that stays owned. If the proof's condition does not hold, the task is kept, which
 // is the safe choice, and removeGone returns false.
 func (m *Machine) removeGone(key AttemptKey, proof GoneProof, now time.Time) bool {
 	t := m.tasks[key]
@@ -41,7 +41,7 @@
 		})
 		return false
 	}
-	t.Resolve(agentapi.Refused)
+	t.Resolve(agentapi.Unresolved)
 	if t.state != Exited && proof != NotSent {
 		slog.Info("task gone from machine", "task", t.ID, "attempt", t.Ref.Attempt, "machine", m.Name,
 			"proof", string(proof), "revision", m.Ownership.Rev, "token", m.Ownership.seenToken,
--- a/internal/machine/heartbeat.go
+++ b/internal/machine/heartbeat.go
@@ -145,7 +145,7 @@
 		if refusedByWorker(t.cause) {
 			// The task never ran, so its end needs no record and the worker may forget it at once.
 			t.forgetAllowed = true
-			result = agentapi.Refused
+			result = agentapi.Unresolved
 			break
 		}
 		m.recordExit(t, now)
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -48,6 +48,7 @@
 	txnAnswerDelay time.Duration // time from a transaction until a scheduler gets its answer
 
 	entryDelay time.Duration // time from the receipt of machine entries until the scheduler gets them
+	delayedBy  string        // host whose entries are delayed; "": all
 
 	commitAnswerDelay time.Duration // time from the answer to a commit until the scheduler gets it
 
@@ -168,7 +169,9 @@
 	feed := changefeed.New(
 		cluster, mirror, hosts, controller.scheduler.HighestEpoch,
 		func(entries []agentapi.MachineEntry) {
-			time.Sleep(cluster.entryDelay)
+			if len(entries) > 0 && (cluster.delayedBy == "" || cluster.delayedBy == entries[0].Host) {
+				time.Sleep(cluster.entryDelay)
+			}
 			controller.scheduler.OnEntries(entries)
 		})
 	cluster.mu.Lock()
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -212,6 +212,9 @@
 	ctx context.Context, j *jobState, commit agentapi.CommitRequest,
 	group []*binding, machine agentapi.Candidate, mode commitMode,
 ) {
+	if group = s.selectCommitting(j, group, machine.Machine); len(group) == 0 {
+		return
+	}
 	commit.Machine, commit.Rev = machine.Machine, machine.Rev
 	commit.Hold = mode == reserveOnly
 	commit.Refs = nil
@@ -237,6 +240,24 @@
 	}
 }
 
+// selectCommitting returns the bindings of a group whose attempts are still committing, and records
+// that the machine is asked next to start them. A machine entry has shown the other attempts in the
+// meantime, so none of their further candidates may be tried.
+func (s *Scheduler) selectCommitting(j *jobState, group []*binding, machine string) (committing []*binding) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range group {
+		task := &j.tasks[b.ref.Index]
+		if !task.isCommitting(b.ref.Attempt) {
+			b.result = agentapi.Unresolved
+			continue
+		}
+		task.machine = machine
+		committing = append(committing, b)
+	}
+	return committing
+}
+
 // sendCommit sends a commit request. On an error the reply is empty, not nil.
 func (s *Scheduler) sendCommit(
 	ctx context.Context, host string, commit agentapi.CommitRequest,
--- a/internal/scheduler/commit_resolution.go
+++ b/internal/scheduler/commit_resolution.go
@@ -86,7 +86,6 @@
 			j.tasks[ref.Index].entryVersion = reply.Ver
 			continue
 		}
-		s.queueRelease(j, ref)
 		s.onTaskLost(j, ref.Index, startAbandoned)
 	}
 }
--- a/internal/scheduler/failure_attribution.go
+++ b/internal/scheduler/failure_attribution.go
@@ -52,7 +52,7 @@
 // failureHistory holds the failures of a job. Except for the avoided machines, it covers the time
 // since a task of the job last completed.
 type failureHistory struct {
-	avoidedMachines []string // machines of recent failures, oldest first
+	avoidedMachines []string // machines of recent failures and of refused starts, oldest first
 	avoidUntil      time.Time
 
 	failedOn    map[string]bool // machines on which the job failed
--- a/internal/scheduler/gone.go
+++ b/internal/scheduler/gone.go
@@ -63,9 +63,9 @@
 		})
 		return
 	}
-	if proof != attemptExited { // which is logged with its cause
-		slog.Info("task attempt gone", "task", job.TaskID(j.spec.ID, index), "attempt", task.attempt,
-			"machine", task.machine, "proof", string(proof), "revision", task.ownerRev, "version", task.entryVersion)
+	if proof != attemptExited { // which is logged with its cause, and whose entry releases the grant
+		task.logGone(job.TaskID(j.spec.ID, index), proof)
+		s.queueRelease(j, j.ref(index))
 	}
 	s.counters.Lost++
 	s.resetTask(j, index)
@@ -76,6 +76,12 @@
 	s.wake()
 }
 
+// logGone logs the proof by which the task's attempt on a machine is regarded as gone.
+func (t *taskState) logGone(id string, proof goneProof) {
+	slog.Info("task attempt gone", "task", id, "attempt", t.attempt, "machine", t.machine,
+		"proof", string(proof), "revision", t.ownerRev, "version", t.entryVersion)
+}
+
 // checkSecondAttempt reports a violation if a reconciled entry lists an attempt that has not exited
 // although the task's attempt is on another machine. The caller must hold s.mu, and follows the later
 // of the two attempts.
--- a/internal/scheduler/gone_test.go
+++ b/internal/scheduler/gone_test.go
@@ -6,6 +6,7 @@
 
 	"robinstack/emulator"
 	"robinstack/internal/agentapi"
+	"robinstack/internal/config"
 	"robinstack/internal/invariant"
 	"robinstack/internal/job"
 	"robinstack/internal/shard"
@@ -14,7 +15,7 @@
 
 // Guards against a task that is given up, and so started again elsewhere, without a proof that it is gone.
 func TestTaskIsKeptWithoutProof(t *testing.T) {
-	s := &Scheduler{placedOn: map[string]map[agentapi.TaskRef]bool{}, wakeUp: make(chan struct{}, 1)}
+	s := &Scheduler{settings: &config.Settings{}, placedOn: map[string]map[agentapi.TaskRef]bool{}, wakeUp: make(chan struct{}, 1)}
 	j := &jobState{spec: &job.Spec{ID: "wk-1", Shape: job.Array, Tasks: 2}, tasks: make([]taskState, 2)}
 	j.tasks[0].beginAttempt(7, "a")
 	j.tasks[0].markPlaced("m1", "a", 3, 1)
--- a/internal/scheduler/machine_entries.go
+++ b/internal/scheduler/machine_entries.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"log/slog"
 	"time"
 
 	"robinstack/internal/agentapi"
@@ -74,7 +73,7 @@
 	if !ended {
 		s.checkSecondAttempt(entry, listed, j)
 	}
-	if task.supersedes(listed.Attempt) || task.status == taskPending && ended {
+	if task.supersedes(listed.Attempt, entry.Machine) || task.status == taskPending && ended {
 		// The attempt was given up as lost, but it was started after all.
 		s.queueForget(item)
 		return
@@ -105,9 +104,7 @@
 		return
 	}
 	if task.onMachine() {
-		slog.Info("task attempt gone", "task", job.TaskID(listed.Job, listed.Index), "attempt", task.attempt,
-			"machine", task.machine, "proof", string(laterAttemptListed), "revision", task.ownerRev,
-			"version", task.entryVersion)
+		task.logGone(job.TaskID(listed.Job, listed.Index), laterAttemptListed)
 	}
 	s.resetTask(j, listed.Index)
 	j.attempts = max(j.attempts, listed.Attempt)
--- a/internal/scheduler/task_results.go
+++ b/internal/scheduler/task_results.go
@@ -54,8 +54,11 @@
 // s.mu.
 func (s *Scheduler) onAttemptEnded(j *jobState, index int, cause, machine string) {
 	slog.Info("task attempt ended", "task", job.TaskID(j.spec.ID, index), "cause", cause, "machine", machine)
-	if cause == worker.CauseFailed {
+	switch cause {
+	case worker.CauseFailed:
 		s.onTaskFailed(j, machine)
+	case worker.CauseNoCapacity:
+		j.failures.avoidMachine(machine, time.Now()) // its owner counts too much capacity as free
 	}
 	s.onTaskLost(j, index, attemptExited)
 }
--- a/internal/scheduler/task_state.go
+++ b/internal/scheduler/task_state.go
@@ -23,7 +23,7 @@
 	status        taskStatus
 	reportedState string // latest state reported by the worker
 	attempt       uint64
-	machine       string
+	machine       string // on which the attempt is or may be; while committing, the one that was asked last
 	zone          string
 
 	// An entry of the machine that does not list the attempt proves the attempt gone if the entry
@@ -73,11 +73,12 @@
 	return t.status == taskPlaced || t.status == taskStopping
 }
 
-// supersedes reports whether an attempt that a machine lists must give way to the task's attempt.
+// supersedes reports whether an attempt that a machine lists must give way to the task's attempt:
+// it is an earlier one, or the same one on a machine other than the task's.
 // A scheduler begins an attempt only once all earlier ones are proven gone, so a listed attempt that
 // is later than the task's proves the task's attempt gone, in whatever order the entries arrive.
-func (t *taskState) supersedes(attempt uint64) bool {
-	return t.status != taskPending && t.attempt > attempt
+func (t *taskState) supersedes(attempt uint64, machine string) bool {
+	return t.status != taskPending && (t.attempt > attempt || t.attempt == attempt && t.machine != machine)
 }
 
 // isPlacedAttempt reports whether the given attempt is the one that a machine has or may have.
