clusteragent: only an owner that was the owner all the while takes a worker's lease for expired

Cause: of the proofs that a task is gone, "worker lease has expired" alone rests on time instead of a message of the worker, and nothing checked that the owner still was the owner. A controller that the state service refuses, that is cut off, or that stood still goes on judging leases by its own last answers, while a successor renews them. After about a lease its entry says, reconciled and with a later version, that the machine has no tasks. A scheduler that has that entry but none of the successor yet (links between controllers cut, a watch that is refused or late) takes the tasks for gone and starts them again.

Evidence: TestDeposedOwnerDoesNotExpireLeasesThatItsSuccessorRenews fails before: after 29 s the former owner shows a reconciled entry without the task, which runs on under the successor.

Why the fix works: the lease counts as expired only if it was at a time at which the mirror was complete and showed this controller as the owner. Before that time there was no later owner to renew it. While the state service cannot be reached nothing can be started anyway; with it, the mirror is at most about 1.5 s old, which is how much later tasks of dead machines are given up.

--- a/internal/clusteragent/entitlement.go
+++ b/internal/clusteragent/entitlement.go
@@ -51,3 +51,13 @@
 	}
 	return ""
 }
+
+// ownedUntil returns a time at which this controller certainly was the machine's owner, or the zero
+// time if the mirror does not show it as the owner.
+func (a *Agent) ownedUntil(m *ownedMachine) time.Time {
+	freshAsOf := a.mirror.FreshAsOf() // before the keys are read, which may be fresher
+	if !a.mirrorShowsOwnership(m) {
+		return time.Time{}
+	}
+	return freshAsOf
+}
--- a/internal/clusteragent/inspect.go
+++ b/internal/clusteragent/inspect.go
@@ -57,7 +57,7 @@
 	if m.RemoveExpiredReservations(now) {
 		changed = true
 	}
-	if m.ExpireLease(now, a.settings.WorkerLeaseExpiry()) {
+	if a.expireLease(m, now) {
 		changed = true
 	}
 	if changed {
@@ -68,6 +68,13 @@
 	}
 }
 
+// expireLease removes the tasks of a machine whose worker's lease has expired, unless a successor may
+// have renewed the lease. The caller must hold a.mu.
+func (a *Agent) expireLease(m *ownedMachine, now time.Time) (changed bool) {
+	expiry := a.settings.WorkerLeaseExpiry()
+	return m.WorkerLeaseExpired(now, expiry) && m.ExpireLease(a.ownedUntil(m), now, expiry)
+}
+
 // livenessTimeouts returns the times after which a machine counts as unresponsive or its heartbeats
 // as lost.
 func (a *Agent) livenessTimeouts() machine.LivenessTimeouts {
--- a/internal/clusteragent/liveness_test.go
+++ b/internal/clusteragent/liveness_test.go
@@ -1,10 +1,14 @@
 package clusteragent_test
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"robinstack/internal/agentapi"
+	"robinstack/internal/job"
+	"robinstack/internal/statekv"
 )
 
 // An agent without machines must not answer consecutive watches at once: its own change feed would
@@ -118,3 +122,59 @@
 		}
 	})
 }
+
+// refusingStore is a state service that refuses one controller alone.
+type refusingStore struct {
+	statekv.Store
+	refuses atomic.Bool
+}
+
+func (s *refusingStore) Renew(ctx context.Context, lease uint64) error {
+	if s.refuses.Load() {
+		return statekv.ErrRejected
+	}
+	return s.Store.Renew(ctx, lease)
+}
+
+func (s *refusingStore) Watch(
+	ctx context.Context, prefix string, since uint64, block time.Duration,
+) (statekv.WatchResponse, error) {
+	response, err := s.Store.Watch(ctx, prefix, since, block)
+	if s.refuses.Load() {
+		return statekv.WatchResponse{}, statekv.ErrRejected
+	}
+	return response, err
+}
+
+// Guards against ran_twice: an owner that does not know its successor takes tasks for gone that the successor keeps.
+func TestDeposedOwnerDoesNotExpireLeasesThatItsSuccessorRenews(t *testing.T) {
+	runScenario(t, func(t *testing.T, bed *testbed) {
+		store := &refusingStore{Store: bed.state}
+		a := bed.startNodeWith(settings(), "host-0", store)
+		epoch := a.acquireJobShard("s", 0)
+		w := bed.workers.Add("m1", "box", "a")
+		a.sendHeartbeat(w)
+		time.Sleep(time.Second)
+		if _, err := bed.state.Txn(bed.ctx, nil, []statekv.Op{{Set: job.RecordKey("wk-1"), Value: job.Record{Spec: job.Spec{ID: "wk-1", Tasks: 9}, JobShard: "s"}}}); err != nil {
+			t.Fatal(err)
+		}
+		if got := a.commit("m1", "s", epoch, 0, 1); got != agentapi.Started {
+			t.Fatalf("commit: got %q, want %q", got, agentapi.Started)
+		}
+		b := bed.startNode("host-1")
+		store.refuses.Store(true)
+		if err := bed.state.Revoke(bed.ctx, 1); err != nil {
+			t.Fatal(err)
+		}
+		for second := range 60 {
+			time.Sleep(time.Second)
+			b.sendHeartbeat(w)
+			if entry := a.entries()["m1"]; entry.Reconciled() && len(entry.Tasks) == 0 && bed.taskCount(w) == 1 {
+				t.Fatalf("after %d s the former owner shows %+v, although the task runs", second, entry)
+			}
+		}
+		if entry := b.entries()["m1"]; !entry.Reconciled() || len(entry.Tasks) != 1 {
+			t.Fatalf("successor: got %+v, want a reconciled entry with the task", entry)
+		}
+	})
+}
--- a/internal/machine/gone_test.go
+++ b/internal/machine/gone_test.go
@@ -45,10 +45,13 @@
 	m := New(Identity{Name: "m1"}, 1, 1, now)
 	m.Apply(&worker.Heartbeat{WorkerEpoch: 1, Sequence: 1, Tasks: []worker.Task{{ID: "wk-1/0", Attempt: 1, State: worker.TaskRunning}}}, now, 0)
 	m.Ownership.RecordTakeover(now.Add(20 * time.Second))
-	if m.ExpireLease(now.Add(50*time.Second), expiry) {
+	if m.ExpireLease(now.Add(50*time.Second), now.Add(50*time.Second), expiry) {
 		t.Error("expired while the earlier owner's last answer may be 30 s ago")
 	}
-	if !m.ExpireLease(now.Add(50*time.Second+time.Millisecond), expiry) || len(m.tasks) != 0 {
+	if m.ExpireLease(now.Add(49*time.Second), now.Add(90*time.Second), expiry) {
+		t.Error("expired while a later owner may have renewed it")
+	}
+	if !m.ExpireLease(now.Add(50*time.Second+time.Millisecond), now.Add(50*time.Second+time.Millisecond), expiry) || len(m.tasks) != 0 {
 		t.Errorf("got %d tasks after the lease expired, want none", len(m.tasks))
 	}
 }
@@ -59,7 +62,7 @@
 	m := New(Identity{Name: "m1"}, 1, 1, now)
 	heartbeat := worker.Heartbeat{WorkerEpoch: 1, Sequence: 1, Tasks: []worker.Task{{ID: "wk-1/0", Attempt: 1, State: worker.TaskRunning}}}
 	m.Apply(&heartbeat, now, 0)
-	if !m.ExpireLease(now.Add(31*time.Second), expiry) {
+	if !m.ExpireLease(now.Add(31*time.Second), now.Add(31*time.Second), expiry) {
 		t.Fatal("the lease has not expired")
 	}
 	heartbeat.Sequence = 2
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -121,17 +121,18 @@
 	return ""
 }
 
-// workerLeaseExpired reports whether the worker's last possible lease renewal is longer than
-// leaseExpiry ago, so that the worker has killed all its tasks.
-func (m *Machine) workerLeaseExpired(now time.Time, leaseExpiry time.Duration) bool {
-	return now.Sub(m.Ownership.lastPossibleRenewal) > leaseExpiry
+// WorkerLeaseExpired reports whether the worker's last possible lease renewal by this or an earlier
+// owner was longer than leaseExpiry before a time.
+func (m *Machine) WorkerLeaseExpired(at time.Time, leaseExpiry time.Duration) bool {
+	return at.Sub(m.Ownership.lastPossibleRenewal) > leaseExpiry
 }
 
-// ExpireLease removes all tasks if the worker's last possible lease renewal is longer than
-// leaseExpiry ago, and reports whether anything changed. Commands that are still in flight cannot
-// take effect any more, because the worker is in a later epoch.
-func (m *Machine) ExpireLease(now time.Time, leaseExpiry time.Duration) (changed bool) {
-	if !m.workerLeaseExpired(now, leaseExpiry) {
+// ExpireLease removes all tasks if the worker's lease has certainly expired, so that the worker has
+// killed them, and reports whether anything changed. ownedUntil is a time at which this controller
+// certainly was the owner: before that, no later owner can have renewed the lease. Commands that are
+// still in flight cannot take effect any more, because the worker is in a later epoch.
+func (m *Machine) ExpireLease(ownedUntil, now time.Time, leaseExpiry time.Duration) (changed bool) {
+	if !m.WorkerLeaseExpired(ownedUntil, leaseExpiry) {
 		return false
 	}
 	m.Liveness.endedEpoch = m.Liveness.latest.epoch
