--- a/internal/scheduler/dependencies_test.go
+++ b/internal/scheduler/dependencies_test.go
@@ -103,6 +103,7 @@
 			if cluster.wasStarted("wk-2") {
 				t.Fatal("wk-2 was started before the completion of wk-1 was recorded")
 			}
+			time.Sleep(50 * time.Millisecond) // between two attempts of the scheduler to record the completion
 			cluster.state.SetOutage(false, false)
 			if cancelled {
 				cluster.cancel("wk-1")
