scheduler: only a job of the own job shard is taken for new, and none that has ended

What users saw: nothing that is known; by the tests, tasks that run twice (rule ran_twice) and tasks that start again after their job is done, under an attempt number that was used before.

Cause: the watch shows a submission whose answer was lost, so an unknown record in a held job shard was taken for a new job: no task of it can have been started, so it may be placed at once. Two other kinds of records are unknown too. (1) A job of an acquired shard whose record could not be read at the takeover and is rewritten later, by a migration say: its tasks run. (2) A job that this scheduler has completed and dropped before a late answer of the watch shows its record as it was before.

Evidence: TestRewrittenJobOfAcquiredShardIsNotTakenForNew fails before with "task wk-1/0 is on [m1 m2], want one machine", TestCompletedJobIsNotTakenUpAgainByALateWatch with "got 2 starts, want 1".

Why the fix works: jobs are accepted only into the own job shard, so only there an unknown record is a new job. For an acquired shard its jobs are loaded again, as at the takeover, and nothing of it is placed until all machines are confirmed. A dropped job counts as deleted from its last known revision on.

--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -47,6 +47,7 @@
 
 	txnAnswerDelay time.Duration // time from a transaction until a scheduler gets its answer
 
+	watchDelay time.Duration // time from a change of the state service until a controller gets it
 	entryDelay time.Duration // time from the receipt of machine entries until the scheduler gets them
 	delayedBy  string        // host whose entries are delayed; "": all
 
@@ -141,7 +142,7 @@
 	settings := cluster.settings(host)
 	ctx, stop := context.WithCancel(cluster.ctx)
 	controller := &testController{host: host, stop: stop, up: true}
-	mirror := statekv.NewMirror(cluster.state,
+	mirror := statekv.NewMirror(delayedAnswers{cluster.state, cluster},
 		[]string{statekv.ClusterPrefix, job.RecordPrefix, job.SpecFragmentPrefix}, statekv.RootPrefix,
 		time.Second, 0,
 		func(events []statekv.Event) {
@@ -188,7 +189,7 @@
 	return controller
 }
 
-// delayedAnswers delays the answers of transactions, which the state service applies at once.
+// delayedAnswers delays the answers of transactions, which the state service applies at once, and of watches.
 type delayedAnswers struct {
 	statekv.Store
 	cluster *testCluster
@@ -200,6 +201,14 @@
 	return rev, err
 }
 
+func (s delayedAnswers) Watch(
+	ctx context.Context, prefix string, since uint64, block time.Duration,
+) (statekv.WatchResponse, error) {
+	response, err := s.Store.Watch(ctx, prefix, since, block)
+	time.Sleep(s.cluster.watchDelay)
+	return response, err
+}
+
 // crash stops a controller and immediately revokes the state lease with the given ID.
 func (cluster *testCluster) crash(controller *testController, lease uint64) {
 	cluster.mu.Lock()
--- a/internal/scheduler/job_records.go
+++ b/internal/scheduler/job_records.go
@@ -23,7 +23,8 @@
 	maxDeletions = 2000
 )
 
-// recordDeletion is the deletion of a job's record, as the watch showed it.
+// recordDeletion is the deletion of a job's record, as the watch showed it or a write of this
+// scheduler caused it.
 type recordDeletion struct {
 	revision uint64
 	seenAt   time.Time
@@ -131,13 +132,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.otherJobs, id)
-	s.deletions[id] = recordDeletion{revision: revision, seenAt: time.Now()}
-	s.dropOldDeletions()
+	s.keepDeletion(id, revision)
 	if j := s.jobs[id]; j != nil && revision > j.revision {
 		s.onFinalRecord(id, j)
 	}
 }
 
+// keepDeletion keeps the deletion of a job's record at a revision, or a revision that the deletion is
+// not earlier than. The caller must hold s.mu.
+func (s *Scheduler) keepDeletion(id string, revision uint64) {
+	s.deletions[id] = recordDeletion{revision: max(revision, s.deletions[id].revision), seenAt: time.Now()}
+	s.dropOldDeletions()
+}
+
 // dropOldDeletions drops old deletions if more than maxDeletions are kept. The caller must hold
 // s.mu.
 func (s *Scheduler) dropOldDeletions() {
@@ -164,18 +171,33 @@
 		s.mirror.ReportUndecodable(event.Key(), err)
 		return
 	}
+	if s.isNewlyAccepted(id, record, event.Rev) {
+		record.KeepUnknownFields(event.Value)
+		s.OnJobAccepted(record, event.Rev)
+	}
+}
+
+// isNewlyAccepted reports whether the written record of an unknown job is that of a job which was
+// accepted into this controller's own job shard, so that no task of it can have been started. An
+// unknown job of an acquired shard could not be read when the shard was acquired, and an earlier
+// scheduler may have started its tasks: the jobs of that shard are loaded again.
+func (s *Scheduler) isNewlyAccepted(id string, record *job.Record, revision uint64) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	shard := s.shards[record.JobShard]
-	if shard == nil {
+	switch {
+	case shard == nil:
 		// Later records of this job only add completed tasks, so they need not be decoded here. If
 		// its job shard is taken over, its jobs are loaded from the mirror.
 		s.otherJobs[id] = true
-	}
-	s.mu.Unlock()
-	if shard != nil && event.Rev > shard.epoch && record.CompletedTasks == "" {
-		record.KeepUnknownFields(event.Value)
-		s.OnJobAccepted(record, event.Rev)
-	}
+		return false
+	case revision <= shard.epoch || revision < s.deletions[id].revision:
+		return false // loaded with the shard, or finished since
+	case record.JobShard != s.ownShard:
+		shard.jobsMissing = true
+		return false
+	}
+	return record.CompletedTasks == ""
 }
 
 // onFinalRecord handles a job whose record has been deleted, which means that the job is finished.
@@ -228,4 +250,5 @@
 		}
 	}
 	delete(s.jobs, id)
+	s.keepDeletion(id, j.revision+1) // the watch may still show the record as it was before
 }
--- a/internal/scheduler/job_shard.go
+++ b/internal/scheduler/job_shard.go
@@ -26,6 +26,9 @@
 	acquiredAt time.Time
 	reconciled bool // every machine has been confirmed
 
+	// jobsMissing: a job could not be read when the jobs were loaded; they have to be loaded again.
+	jobsMissing bool
+
 	// unconfirmed holds the machines that have not been confirmed, with the properties that decide
 	// which jobs they are eligible for; unconfirmedCounts counts them by those properties. No
 	// machine is added after the acquisition: the owner of a machine whose key was created later
--- a/internal/scheduler/shard_acquisition.go
+++ b/internal/scheduler/shard_acquisition.go
@@ -56,7 +56,8 @@
 }
 
 // acquirableShards returns the job shards to acquire. It also returns, as epochs by key, the job
-// shards that this session has already acquired in a write whose response was lost.
+// shards that this session has already acquired but whose jobs are not all loaded: the response of
+// the write was lost, or a job could not be read.
 func (s *Scheduler) acquirableShards() (roles []statekv.Role, alreadyAcquired map[string]uint64) {
 	successors := s.session.Successors(s.settings.Hosts())
 	alreadyAcquired = map[string]uint64{}
@@ -66,7 +67,7 @@
 		switch {
 		case err != nil:
 			s.mirror.ReportUndecodable(kv.Key, err)
-		case s.holdsShard(id):
+		case s.hasLoadedShard(id):
 		case holder == s.session.Holder:
 			alreadyAcquired[kv.Key] = kv.Rev
 		case !s.session.Alive(holder) && successorOf(id, holder.Host, successors) == s.session.Host:
@@ -81,11 +82,12 @@
 	return roles, alreadyAcquired
 }
 
-// holdsShard reports whether this controller holds the job shard.
-func (s *Scheduler) holdsShard(id string) bool {
+// hasLoadedShard reports whether this controller holds the job shard and has loaded its jobs.
+func (s *Scheduler) hasLoadedShard(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.shards[id] != nil
+	shard := s.shards[id]
+	return shard != nil && !shard.jobsMissing
 }
 
 // successorOf returns the host that takes a job shard over: its previous host if that is one of the
--- a/internal/scheduler/shard_takeover_test.go
+++ b/internal/scheduler/shard_takeover_test.go
@@ -211,3 +211,32 @@
 		}
 	})
 }
+
+// Invariant ran_twice: a running job whose record could not be read at the takeover is rewritten and taken for a new one.
+func TestRewrittenJobOfAcquiredShardIsNotTakenForNew(t *testing.T) {
+	runScenario(t, func(cluster *testCluster) {
+		first := cluster.start("host-0")
+		cluster.advance(3 * time.Second)
+		cluster.submit(first, newSpec("wk-1", job.Array, 1, 2))
+		cluster.advance(3 * time.Second)
+		kv, err := cluster.state.Get(cluster.ctx, job.RecordKey("wk-1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		cluster.put(statekv.Op{Set: kv.Key, Value: map[string]int{"form": job.RecordSchema + 1}})
+		cluster.crash(first, 1)
+		cluster.start("host-1")
+		cluster.advance(4 * time.Second)
+		cluster.put(statekv.Op{Set: kv.Key, Value: kv.Value})
+		checker := newInvariantChecker(cluster)
+		for range 10 {
+			cluster.advance(time.Second)
+			checker.checkRunsOnce()
+		}
+		cluster.exitAllTasks(worker.CauseDone)
+		cluster.advance(5 * time.Second)
+		if cluster.finalStatus("wk-1") != job.Done {
+			t.Errorf("got final status %q, want %q", cluster.finalStatus("wk-1"), job.Done)
+		}
+	})
+}
--- a/internal/scheduler/task_lifecycle_test.go
+++ b/internal/scheduler/task_lifecycle_test.go
@@ -305,3 +305,22 @@
 		}
 	})
 }
+
+// Invariant ran_twice: the watch shows a job's record only after the scheduler has completed and dropped the job.
+func TestCompletedJobIsNotTakenUpAgainByALateWatch(t *testing.T) {
+	runScenario(t, func(cluster *testCluster) {
+		controller := cluster.start("host-0")
+		cluster.advance(10 * time.Second)
+		cluster.watchDelay = 6 * time.Second
+		cluster.submit(controller, newSpec("wk-1", job.Array, 1, 1))
+		cluster.advance(2 * time.Second)
+		cluster.exitAllTasks(worker.CauseDone)
+		cluster.advance(20 * time.Second)
+		if cluster.finalStatus("wk-1") != job.Done {
+			t.Fatalf("got final status %q, want %q", cluster.finalStatus("wk-1"), job.Done)
+		}
+		if n := cluster.countStarts("wk-1"); n != 1 {
+			t.Errorf("got %d starts, want 1", n)
+		}
+	})
+}
