soak: refused starts, all controllers cut apart, throttled controllers, the jobs that were missing, larger clusters

The soak did not have what the faults of this incident need.

Job classes of scale profiles have the new fields too; old profiles read as before (recorded forms: only additions).

--- a/emulator/simulatedmachine.go
+++ b/emulator/simulatedmachine.go
@@ -38,6 +38,7 @@
 	InboundLost             bool          // responses and direct commands do not reach the worker; heartbeats arrive
 	CommandsLost            bool          // direct commands do not reach the worker; responses to its heartbeats do
 	HeartbeatsLost          bool          // heartbeats do not reach any controller; direct commands are executed
+	RefusesStarts           bool          // the worker refuses all starts for want of free resources
 	CommandDelay            time.Duration // delay of direct commands, and therefore of their responses
 	ResponseDelay           time.Duration // delay of responses to heartbeats
 	UnreachableFrom         string        // host whose direct commands do not reach the worker; "": none
@@ -113,7 +114,7 @@
 	losesMessages := m.InboundLost || m.CommandsLost || m.HeartbeatsLost
 	partitioned := m.UnreachableFrom != "" || m.OnlyReachableController != ""
 	slow := m.CommandDelay > 0 || m.ResponseDelay > 0
-	return m.IsUp() && !m.Hung && !losesMessages && !partitioned && !slow
+	return m.IsUp() && !m.Hung && !m.RefusesStarts && !losesMessages && !partitioned && !slow
 }
 
 // freeCapacity returns the resources that no task on the machine uses.
--- a/emulator/simulatedtask.go
+++ b/emulator/simulatedtask.go
@@ -90,7 +90,7 @@
 		m.endTask(task, worker.CauseOtherAttempt)
 	case !known:
 		m.endTask(task, worker.CauseUnknownTask)
-	case spec.GPUs+gpus > m.machineType.GPUs:
+	case m.RefusesStarts || spec.GPUs+gpus > m.machineType.GPUs:
 		m.endTask(task, worker.CauseNoCapacity)
 	default:
 		runTime := m.cloud.runTimes[id]
--- a/internal/machine/gone.go
+++ b/internal/machine/gone.go
@@ -30,8 +30,9 @@
 
 // removeGone removes a task that the proof shows to be gone. A commit that waits for its start is left
 // unresolved, because entries have shown the attempt; the next entry shows the scheduler that it may
-// start the task elsewhere. This is the only way in which a task leaves a machine that stays owned. If the proof's condition does not hold, the task is kept, which
-// is the safe choice, and removeGone returns false.
+// start the task elsewhere. This is the only way in which a task leaves a machine that stays owned.
+// If the proof's condition does not hold, the task is kept, which is the safe choice, and removeGone
+// returns false.
 func (m *Machine) removeGone(key AttemptKey, proof GoneProof, now time.Time) bool {
 	t := m.tasks[key]
 	if why := m.refutation(t, proof); why != "" {
--- a/tools/scaletest/profile.go
+++ b/tools/scaletest/profile.go
@@ -126,6 +126,12 @@
 	Urgent    bool    `toml:"urgent"`
 	Images    int     `toml:"images"`
 
+	Spread      bool    `toml:"spread"`
+	CheckpointS float64 `toml:"snapshot_every_s"` // 0: tasks cannot save a checkpoint
+	SaveS       float64 `toml:"snapshot_s"`
+	WaitsOn     int     `toml:"waits_on"`    // a job depends on up to this many jobs accepted before it
+	ImageBytes  int     `toml:"image_bytes"` // least length of the name of the image
+
 	BurstAt float64 `toml:"burst_at_s"` // start of a one-second burst of Burst jobs
 	Burst   int     `toml:"burst_jobs"`
 }
--- a/tools/scaletest/profilechecks.go
+++ b/tools/scaletest/profilechecks.go
@@ -34,6 +34,7 @@
 	minCancellationMarginS = 4 // minimum time from lease expiry to the cancellation deadline
 	maxTeams               = 1000
 	maxClassJobsPerSecond  = 1000
+	maxImageBytes          = 32 << 10
 )
 
 // checks returns the checks of all fields, passed and failed.
@@ -113,6 +114,12 @@
 	return []fieldCheck{
 		{c.Name == "", prefix + "class", "is missing"},
 		{c.Shape != job.Array && c.Shape != job.Gang, prefix + "shape", `must be "sweep" or "gang"`},
+		{c.CheckpointS < 0 || c.SaveS < 0, prefix + "snapshot_s",
+			"snapshot_every_s and snapshot_s must not be negative"},
+		{c.WaitsOn < 0 || c.WaitsOn > job.MaxDependencies, prefix + "waits_on",
+			fmt.Sprintf("must be 0 to %d", job.MaxDependencies)},
+		{c.ImageBytes < 0 || c.ImageBytes > maxImageBytes, prefix + "image_bytes",
+			fmt.Sprintf("must be 0 to %d", maxImageBytes)},
 		{!slices.Contains(ranks, c.Rank), prefix + "rank", "must be one of " + strings.Join(ranks, ", ")},
 		{len(c.Tasks) == 0 || slices.Min(c.Tasks) < 1, prefix + "tasks", "must list numbers above 0"},
 		{c.CPUs < 0 || c.GPUs < 0 || c.MemoryGB < 0, prefix + "cpus", "cpus, gpus and memory_gb must not be negative"},
--- a/tools/scaletest/users.go
+++ b/tools/scaletest/users.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -120,7 +121,11 @@
 		}
 		u.submitLateness.add(time.Since(due))
 		if spec, ok := u.drawJob(a.class); ok {
-			go u.followJob(ctx, spec, rand.Float64() < a.class.Cancelled)
+			cancelAfter := time.Duration(0)
+			if rand.Float64() < a.class.Cancelled {
+				cancelAfter = seconds(rand.Float64() * a.class.Run)
+			}
+			go u.followJob(ctx, spec, cancelAfter)
 		}
 	}
 }
@@ -140,16 +145,54 @@
 		Rank:      c.Rank,
 		Tasks:     c.Tasks[rand.IntN(len(c.Tasks))],
 		Need:      job.Resources{CPUs: c.CPUs, GPUs: c.GPUs, MemoryGB: c.MemoryGB},
-		Image:     fmt.Sprintf("%s-%d", c.Name, rand.IntN(c.Images)),
+		Image:     c.drawImage(),
 		ImageGB:   imageGB,
 		OneZone:   c.OneZone,
+		Spread:    c.Spread,
 		EstimateS: c.Run,
+
+		CheckpointS: c.CheckpointS,
+		SaveS:       c.SaveS,
+		WaitsOn:     u.drawDependencies(c.WaitsOn),
+	}
+	if spec.Shape == job.Service {
+		spec.EstimateS = 0
 	}
 	u.history.RecordSubmission(spec)
 	u.cloud.SetRunTimes(spec.ID, seconds(c.Run*(0.5+rand.Float64())), 0)
 	return spec, true
 }
 
+// drawImage draws one of the images of the class. Its name is padded to the length that the class
+// states.
+func (c *JobClass) drawImage() string {
+	image := fmt.Sprintf("%s-%d", c.Name, rand.IntN(c.Images))
+	return image + strings.Repeat("-", max(0, c.ImageBytes-len(image)))
+}
+
+// recentDependencies is the number of jobs accepted last from which dependencies are drawn.
+const recentDependencies = 200
+
+// drawDependencies draws up to limit jobs that have been accepted and are no services.
+func (u *Users) drawDependencies(limit int) (dependencies []string) {
+	if limit == 0 {
+		return nil
+	}
+	ids := u.history.AcceptedJobIDs()
+	ids = ids[max(0, len(ids)-recentDependencies):]
+	for range rand.IntN(limit + 1) {
+		if len(ids) == 0 {
+			break
+		}
+		id := ids[rand.IntN(len(ids))]
+		spec, _ := u.history.SubmittedSpec(id)
+		if spec.Shape != job.Service && !slices.Contains(dependencies, id) {
+			dependencies = append(dependencies, id)
+		}
+	}
+	return dependencies
+}
+
 // Query asks for the status of a job and records the response.
 func (u *Users) Query(ctx context.Context, id string) {
 	u.sendAndRecord(ctx, id, newStatusQuery(id))
@@ -203,10 +246,9 @@
 	return request{kind: "cancel", method: http.MethodPost, path: path, timeout: pollTimeout}
 }
 
-// followJob submits a job and polls its status until it is done or cancelled. If cancels is true,
-// it waits a random part of the mean run time and then sends cancellations in place of status
-// queries.
-func (u *Users) followJob(ctx context.Context, spec job.Spec, cancels bool) {
+// followJob submits a job and polls its status until it is done or cancelled. If cancelAfter is not
+// zero, it waits for that time and then sends cancellations in place of status queries.
+func (u *Users) followJob(ctx context.Context, spec job.Spec, cancelAfter time.Duration) {
 	defer u.addToCounter(&u.open, -1)
 	if !u.submit(ctx, &spec) {
 		u.addToCounter(&u.givenUp, 1)
@@ -214,7 +256,7 @@
 	}
 	u.addToCounter(&u.accepted, 1)
 	poll := newStatusQuery(spec.ID)
-	if cancels && emulator.Sleep(ctx, time.Duration(rand.Float64()*spec.EstimateS*float64(time.Second))) {
+	if cancelAfter > 0 && emulator.Sleep(ctx, cancelAfter) {
 		poll = newCancellation(spec.ID)
 	}
 	for emulator.Sleep(ctx, time.Duration(float64(pollInterval)*(0.8+0.4*rand.Float64()))) {
--- a/tools/soak/cluster.go
+++ b/tools/soak/cluster.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -45,6 +47,7 @@
 	links       links
 	nodes       []devcluster.Node
 	controllers *devcluster.Controllers
+	pauses      *controllerPauses
 	cloud       *emulator.SimulatedCloud
 	history     *emulator.History
 	users       *scaletest.Users
@@ -91,14 +94,19 @@
 	if err := c.connect(seed); err != nil {
 		return err
 	}
-	var err error
+	policy := filepath.Join(logDirectory, "policy")
+	err := os.WriteFile(policy, []byte(c.profile.Controllers.Policy), fileMode)
+	if err != nil {
+		return fmt.Errorf("writing the policy: %w", err)
+	}
 	c.controllers, err = devcluster.NewControllers(devcluster.ControllersConfig{
-		Nodes: c.nodes, Deployment: c.profile.Deployment(), Program: c.options.Program,
+		Nodes: c.nodes, Deployment: c.profile.Deployment(), Policy: policy, Program: c.options.Program,
 		LogDirectory: logDirectory, LogLevel: c.options.LogLevel,
 	})
 	if err != nil {
 		return err
 	}
+	c.pauses = newControllerPauses(c.controllers)
 	settings, err := config.Load(c.controllers.SettingsFile(0))
 	if err != nil {
 		return err
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -59,6 +59,9 @@
 		onMachines(func(m *emulator.SimulatedMachine, on bool) { m.ResponseDelay = choose(on, lateResponseDelay) })},
 	{"old heartbeats arrive again", time.Second, 8 * time.Second, 3, repeatHeartbeats},
 	{"machines fail", time.Second, time.Second, 2, failMachines},
+	{"workers refuse starts", 3 * time.Second, 15 * time.Second, 8,
+		onMachines(func(m *emulator.SimulatedMachine, on bool) { m.RefusesStarts = on })},
+	{"all controllers are cut apart", 2 * time.Second, 20 * time.Second, 2, cutAllPeers},
 }
 
 // leaderKills is the kind of fault that every schedule has.
@@ -139,24 +142,24 @@
 }
 
 func pauseController(c *cluster, f *Fault) injection {
-	if !c.controllers.Pause(f.host) {
+	if !c.pauses.begin(f.host) {
 		return injection{func() {}, constant(0)}
 	}
-	return injection{func() { c.controllers.Resume(f.host) }, constant(1)}
+	return injection{func() { c.pauses.end(f.host) }, constant(1)}
 }
 
 func pauseAllControllers(c *cluster, _ *Fault) injection {
-	paused := 0
+	var paused []int
 	for k := range c.nodes {
-		if c.controllers.Pause(k) {
-			paused++
+		if c.pauses.begin(k) {
+			paused = append(paused, k)
 		}
 	}
 	return injection{func() {
-		for k := range c.nodes {
-			c.controllers.Resume(k)
+		for _, k := range paused {
+			c.pauses.end(k)
 		}
-	}, constant(paused)}
+	}, constant(len(paused))}
 }
 
 // modes returns how a cut treats both directions of a link.
@@ -195,6 +198,18 @@
 
 func cutPeers(c *cluster, f *Fault) injection { return cutLinks(f, c.links.ofPeers(f.host)...) }
 
+func cutAllPeers(c *cluster, f *Fault) injection {
+	var links []*link
+	for k := range c.nodes {
+		for _, l := range c.links.peers[k] {
+			if l != nil {
+				links = append(links, l)
+			}
+		}
+	}
+	return cutLinks(f, links...)
+}
+
 func cutStateAndPeers(c *cluster, f *Fault) injection {
 	return cutLinks(f, append(c.links.ofPeers(f.host), c.links.state[f.host])...)
 }
--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -154,6 +154,9 @@
 	return nil
 }
 
+// fileMode is the mode of the files that a run writes.
+const fileMode = 0o644
+
 // timelineEntry is one line of the merged timeline.
 type timelineEntry struct {
 	at   time.Time
@@ -186,7 +189,6 @@
 		fmt.Fprintf(&out, "%s %s\n", entry.at.UTC().Format("15:04:05.000"), entry.text)
 	}
 	r.Timeline = filepath.Join(r.LogDirectory, "timeline.log")
-	const fileMode = 0o644
 	errs = append(errs, os.WriteFile(r.Timeline, []byte(out.String()), fileMode))
 	return errors.Join(errs...)
 }
@@ -224,8 +226,8 @@
 	r.printTimelineExcerpt(out)
 	o := &r.Options
 	console.Printf(out, "again: robinstack soak --seed %d --duration %v --controllers %d --machines %d --level %s "+
-		"--logs DIR\n(the faults are the same; how the processes interleave is not)\nlogs: %s\n",
-		r.Seed, o.Duration, o.Controllers, o.Machines, o.LogLevel, r.LogDirectory)
+		"--cores %v --logs DIR\n(the faults are the same; how the processes interleave is not)\nlogs: %s\n",
+		r.Seed, o.Duration, o.Controllers, o.Machines, o.LogLevel, o.Cores, r.LogDirectory)
 }
 
 func (r *Report) printTimelineExcerpt(out io.Writer) {
--- a/tools/soak/run.go
+++ b/tools/soak/run.go
@@ -21,16 +21,18 @@
 	Program      string        // path of the robinstack executable
 	Duration     time.Duration // time under load and faults
 	Controllers  int
-	Machines     int    // initial machines
-	LogDirectory string // receives a directory for each seed; "": a temporary one, kept if the run fails
-	LogLevel     string // of the controllers
+	Machines     int     // initial machines
+	Cores        float64 // share of a processor core that each controller may use; 0: not limited
+	LogDirectory string  // receives a directory for each seed; "": a temporary one, kept if the run fails
+	LogLevel     string  // of the controllers
 }
 
 // Bounds of the options.
 const (
 	minDuration, maxDuration       = 15 * time.Second, 4 * time.Hour
-	minControllers, maxControllers = 2, 7
-	minMachines, maxMachines       = 8, 400
+	minControllers, maxControllers = 2, 16
+	minMachines, maxMachines       = 8, 4000
+	minCores                       = 0.1
 )
 
 // Check returns an error that wraps ErrInvalidOptions and names the first option that is out of range.
@@ -45,6 +47,8 @@
 	case o.Machines < minMachines || o.Machines > maxMachines:
 		return fmt.Errorf("%w: machines is %d, must be %d to %d",
 			ErrInvalidOptions, o.Machines, minMachines, maxMachines)
+	case o.Cores != 0 && (o.Cores < minCores || o.Cores >= 1):
+		return fmt.Errorf("%w: cores is %v, must be 0 or %v to below 1", ErrInvalidOptions, o.Cores, minCores)
 	case o.LogLevel != "info" && o.LogLevel != "debug" && o.LogLevel != "error":
 		return fmt.Errorf("%w: level is %q, must be error, info or debug", ErrInvalidOptions, o.LogLevel)
 	}
@@ -86,7 +90,9 @@
 	}
 	r := &Report{Seed: seed, Options: *o, LogDirectory: directory}
 	stopObserving := c.startObserving(ctx)
+	stopThrottling := c.startThrottling(ctx)
 	r.Schedule = c.runLoadAndFaults(ctx, seed)
+	stopThrottling()
 	c.drain()
 	stopObserving()
 	if ctx.Err() != nil {
@@ -138,6 +144,19 @@
 	return func() { cancel(); observers.Wait() }
 }
 
+// startThrottling limits the processor time of the controllers, if the options say so, until the
+// returned function is called.
+func (c *cluster) startThrottling(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var throttles sync.WaitGroup
+	if c.options.Cores > 0 {
+		for k := range c.nodes {
+			throttles.Go(func() { c.pauses.throttle(ctx, k, c.options.Cores) })
+		}
+	}
+	return func() { cancel(); throttles.Wait() }
+}
+
 // runLoadAndFaults injects the faults of the schedule while users are active, and returns the
 // schedule with the effects of the faults.
 func (c *cluster) runLoadAndFaults(ctx context.Context, seed uint64) []InjectedFault {
@@ -221,8 +240,8 @@
 // drain ends what is left of the faults and waits until all jobs are finished, at most drainTimeout.
 func (c *cluster) drain() {
 	c.timers.Wait()
+	c.pauses.endAll(len(c.nodes))
 	for k := range c.nodes {
-		c.controllers.Resume(k)
 		c.launch(k)
 	}
 	c.history.RecordFault("all faults have ended")
