scheduler: a member of a spread gang falls back only to machines of its zone

Cause: when an owner refuses the reservation for a member, the member tries the candidates of the gang's first member. Those are in another zone, and nobody counts the tasks by zone again.

Evidence: TestSpreadGangDoesNotFallBackToAnotherZone fails before: both members are reserved on a1.

Why the fix works: the decision counts each member in the zone of its first candidate, and a member of a spread gang now stays in that zone. If no machine there accepts it, the gang is tried again.

--- a/internal/scheduler/gang_commit.go
+++ b/internal/scheduler/gang_commit.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"robinstack/internal/agentapi"
+	"robinstack/internal/scheduler/candidate"
 )
 
 // reservedTask is a gang member with the machine that has reserved capacity for it.
@@ -40,7 +41,8 @@
 }
 
 // reserveGang reserves capacity for each member and reports whether that succeeded for all. Each
-// member tries its own candidates and then those of the first member.
+// member tries its own candidates and then those of the first member. If the gang is spread over
+// zones, a member stays in the zone that the decision counted it in.
 func (s *Scheduler) reserveGang(
 	ctx context.Context, j *jobState, commit agentapi.CommitRequest, bindings []*binding,
 ) (reserved []reservedTask, complete bool) {
@@ -53,7 +55,11 @@
 			cmp.Compare(a.ref.Index, b.ref.Index))
 	})
 	for _, b := range ordered {
-		machine, ok := s.reserveMember(ctx, j, commit, b, slices.Concat(b.candidates, fallbacks), assigned)
+		candidates := slices.Concat(b.candidates, fallbacks)
+		if commit.Spec.Spread {
+			candidates = candidate.FilterByZone(candidates, b.candidates[0].Zone)
+		}
+		machine, ok := s.reserveMember(ctx, j, commit, b, candidates, assigned)
 		if !ok {
 			return reserved, false
 		}
