Log why a listed attempt is stopped, and until when an owner that expires a lease was the owner

The two decisions of this incident left no line: a scheduler that had a running attempt stopped said nothing, and the expiry of a lease did not say how old the knowledge of the ownership was. Both lines are rare: an attempt is superseded after a takeover only, and a lease expires once for each machine that is lost.

--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -141,7 +141,8 @@
 	}
 	slog.Info("worker lease expired", "machine", m.Name, "tasks", len(m.tasks), "reconciled", m.Ownership.reconciled,
 		"revision", m.Ownership.Rev, "epoch", m.Liveness.Epoch(),
-		"last_renewal_s", seconds(now.Sub(m.Ownership.lastPossibleRenewal)))
+		"last_renewal_s", seconds(now.Sub(m.Ownership.lastPossibleRenewal)),
+		"owned_until_s", seconds(now.Sub(ownedUntil)))
 	for key := range m.tasks {
 		m.removeGone(key, LeaseExpired, now)
 	}
--- a/internal/scheduler/gone.go
+++ b/internal/scheduler/gone.go
@@ -82,6 +82,13 @@
 		"proof", string(proof), "revision", t.ownerRev, "version", t.entryVersion)
 }
 
+// logSuperseded logs why a listed attempt is stopped: the task's attempt supersedes it.
+func (t *taskState) logSuperseded(entry *agentapi.MachineEntry, listed *agentapi.TaskEntry) {
+	slog.Info("task attempt superseded", "task", job.TaskID(listed.Job, listed.Index), "attempt", listed.Attempt,
+		"machine", entry.Machine, "state", listed.State, "revision", entry.Rev, "version", entry.Ver,
+		"reconciled", entry.Reconciled(), "by_attempt", t.attempt, "by_machine", t.machine, "by_revision", t.ownerRev)
+}
+
 // checkSecondAttempt reports a violation if a reconciled entry lists an attempt that has not exited
 // although the task's attempt is on another machine. The caller must hold s.mu, and follows the later
 // of the two attempts.
--- a/internal/scheduler/machine_entries.go
+++ b/internal/scheduler/machine_entries.go
@@ -75,6 +75,9 @@
 	}
 	if task.supersedes(listed.Attempt, entry.Machine) || task.status == taskPending && ended {
 		// The attempt was given up as lost, but it was started after all.
+		if !ended {
+			task.logSuperseded(entry, listed)
+		}
 		s.queueForget(item)
 		return
 	}
