scheduler: avoid a machine that refused a start for 10 s, not 40 s

TestStartRefusedByWorkerIsNotRepeatedAfterFallback failed now and then with "got 1 starts of 2 tasks, want 2": both machines that refused one start each were avoided for 40 s, the time after a failure, and the third has room for one task. A refused start mostly means that a task is just ending there.

--- a/internal/scheduler/failure_attribution.go
+++ b/internal/scheduler/failure_attribution.go
@@ -22,6 +22,10 @@
 	// because a job with few eligible machines has to be tried there again.
 	avoidDuration = 40 * time.Second
 
+	// refusalAvoidDuration is how long a job is not placed on machines whose workers had no room for its
+	// tasks. Their owners count too much capacity as free, mostly for a moment.
+	refusalAvoidDuration = 10 * time.Second
+
 	// maxAvoided bounds the machines that a job avoids; the most recent ones are kept.
 	maxAvoided = 6
 
@@ -61,13 +65,16 @@
 	unrecorded  bool            // the history has to be written into the job's record
 }
 
-// avoidMachine keeps the job off a machine for avoidDuration.
-func (f *failureHistory) avoidMachine(machine string, now time.Time) {
+// avoidMachine keeps the job off a machine for the given time, and off those that it avoids already
+// for at least as long.
+func (f *failureHistory) avoidMachine(machine string, duration time.Duration, now time.Time) {
 	f.avoidedMachines = append(f.avoidedMachines, machine)
 	if len(f.avoidedMachines) > maxAvoided {
 		f.avoidedMachines = f.avoidedMachines[1:]
 	}
-	f.avoidUntil = now.Add(avoidDuration)
+	if until := now.Add(duration); until.After(f.avoidUntil) {
+		f.avoidUntil = until
+	}
 }
 
 // avoided returns the machines on which the job must not be placed now.
--- a/internal/scheduler/failures.go
+++ b/internal/scheduler/failures.go
@@ -17,7 +17,7 @@
 func (s *Scheduler) onTaskFailed(j *jobState, machine string) {
 	s.counters.Failed++
 	now := time.Now()
-	j.failures.avoidMachine(machine, now)
+	j.failures.avoidMachine(machine, avoidDuration, now)
 	if j.doneCount > 0 {
 		s.queueAttribution(j, machine, true)
 		j.nextPlacementAt = now.Add(s.policy.ResampleDelay)
--- a/internal/scheduler/task_results.go
+++ b/internal/scheduler/task_results.go
@@ -58,7 +58,7 @@
 	case worker.CauseFailed:
 		s.onTaskFailed(j, machine)
 	case worker.CauseNoCapacity:
-		j.failures.avoidMachine(machine, time.Now()) // its owner counts too much capacity as free
+		j.failures.avoidMachine(machine, refusalAvoidDuration, time.Now())
 	}
 	s.onTaskLost(j, index, attemptExited)
 }
