--- a/internal/clusteragent/balance_test.go
+++ b/internal/clusteragent/balance_test.go
@@ -9,7 +9,6 @@
 
 	"robinstack/emulator"
 	"robinstack/internal/agentapi"
-	"robinstack/internal/job"
 	"robinstack/internal/shard"
 	"robinstack/internal/statekv"
 )
@@ -39,9 +38,7 @@
 		a := bed.startNode("host-0")
 		epoch := a.acquireJobShard("s", 0)
 		workers := addMachines(a, 200)
-		if _, err := bed.state.Txn(bed.ctx, nil, []statekv.Op{{Set: job.RecordKey("wk-1"), Value: job.Record{Spec: job.Spec{ID: "wk-1", Tasks: 9}, JobShard: "s"}}}); err != nil {
-			t.Fatal(err)
-		}
+		bed.putJobRecord()
 		if got := a.commit("m1", "s", epoch, 0, 1); got != agentapi.Started {
 			t.Fatalf("commit: got %q, want %q", got, agentapi.Started)
 		}
--- a/internal/clusteragent/entitlement.go
+++ b/internal/clusteragent/entitlement.go
@@ -1,6 +1,11 @@
 package clusteragent
 
-import "time"
+import (
+	"time"
+
+	"robinstack/internal/shard"
+	"robinstack/internal/statekv"
+)
 
 // action is something that a controller does with a machine that it owns.
 type action int
@@ -52,6 +57,24 @@
 	return ""
 }
 
+// stillOwned reports whether the keys in the mirror show this controller as the machine's owner. It
+// returns true without a check while the session certainly holds its lease: in that state
+// reconcileOwnership continuously releases machines that have another owner.
+func (a *Agent) stillOwned(m *ownedMachine) bool {
+	if a.session.HoldsLease() {
+		return true
+	}
+	return a.mirrorShowsOwnership(m)
+}
+
+// mirrorShowsOwnership reports whether the keys in the mirror show this controller as the machine's
+// owner.
+func (a *Agent) mirrorShowsOwnership(m *ownedMachine) bool {
+	kv, ok := a.mirror.Get(statekv.MachinePrefix + m.Name)
+	holder, rev := shard.OwnerOf(a.mirror, kv)
+	return ok && holder == a.session.Holder && rev <= m.Ownership.Rev
+}
+
 // ownedUntil returns a time at which this controller certainly was the machine's owner, or the zero
 // time if the mirror does not show it as the owner.
 func (a *Agent) ownedUntil(m *ownedMachine) time.Time {
--- a/internal/clusteragent/failover_test.go
+++ b/internal/clusteragent/failover_test.go
@@ -8,7 +8,6 @@
 
 	"robinstack/emulator"
 	"robinstack/internal/agentapi"
-	"robinstack/internal/job"
 	"robinstack/internal/shard"
 	"robinstack/internal/statekv"
 )
@@ -22,9 +21,7 @@
 		w := bed.workers.Add("m1", "box", "a")
 		a.sendHeartbeat(w)
 		time.Sleep(time.Second)
-		if _, err := bed.state.Txn(bed.ctx, nil, []statekv.Op{{Set: job.RecordKey("wk-1"), Value: job.Record{Spec: job.Spec{ID: "wk-1", Tasks: 9}, JobShard: "s"}}}); err != nil {
-			t.Fatal(err)
-		}
+		bed.putJobRecord()
 		if got := a.commit("m1", "s", epoch, 0, 1); got != agentapi.Started {
 			t.Fatalf("commit: got %q, want %q", got, agentapi.Started)
 		}
@@ -98,9 +95,7 @@
 		if n := len(a.entries()); n != 1000 || bed.state.Changes()-before != 1000 {
 			t.Fatalf("got %d machines after %d changes, want 1000 after 1000", n, bed.state.Changes()-before)
 		}
-		if _, err := bed.state.Txn(bed.ctx, nil, []statekv.Op{{Set: job.RecordKey("wk-1"), Value: job.Record{Spec: job.Spec{ID: "wk-1", Tasks: 9}, JobShard: "s"}}}); err != nil {
-			t.Fatal(err)
-		}
+		bed.putJobRecord()
 		for _, w := range workers {
 			a.sendHeartbeat(w)
 		}
--- a/internal/clusteragent/heartbeat.go
+++ b/internal/clusteragent/heartbeat.go
@@ -209,21 +209,3 @@
 	}
 	return holder.Host
 }
-
-// stillOwned reports whether the keys in the mirror show this controller as the machine's owner. It
-// returns true without a check while the session certainly holds its lease: in that state
-// reconcileOwnership continuously releases machines that have another owner.
-func (a *Agent) stillOwned(m *ownedMachine) bool {
-	if a.session.HoldsLease() {
-		return true
-	}
-	return a.mirrorShowsOwnership(m)
-}
-
-// mirrorShowsOwnership reports whether the keys in the mirror show this controller as the machine's
-// owner.
-func (a *Agent) mirrorShowsOwnership(m *ownedMachine) bool {
-	kv, ok := a.mirror.Get(statekv.MachinePrefix + m.Name)
-	holder, rev := shard.OwnerOf(a.mirror, kv)
-	return ok && holder == a.session.Holder && rev <= m.Ownership.Rev
-}
--- a/internal/clusteragent/liveness_test.go
+++ b/internal/clusteragent/liveness_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"robinstack/internal/agentapi"
-	"robinstack/internal/job"
 	"robinstack/internal/statekv"
 )
 
@@ -155,9 +154,7 @@
 		w := bed.workers.Add("m1", "box", "a")
 		a.sendHeartbeat(w)
 		time.Sleep(time.Second)
-		if _, err := bed.state.Txn(bed.ctx, nil, []statekv.Op{{Set: job.RecordKey("wk-1"), Value: job.Record{Spec: job.Spec{ID: "wk-1", Tasks: 9}, JobShard: "s"}}}); err != nil {
-			t.Fatal(err)
-		}
+		bed.putJobRecord()
 		if got := a.commit("m1", "s", epoch, 0, 1); got != agentapi.Started {
 			t.Fatalf("commit: got %q, want %q", got, agentapi.Started)
 		}
--- a/internal/clusteragent/testbed_test.go
+++ b/internal/clusteragent/testbed_test.go
@@ -113,6 +113,15 @@
 	return n, w, epoch
 }
 
+// putJobRecord writes the record of job wk-1, whose tasks commit commits.
+func (bed *testbed) putJobRecord() {
+	bed.t.Helper()
+	record := job.Record{Spec: job.Spec{ID: "wk-1", Tasks: 9}, JobShard: "s"}
+	if _, err := bed.state.Txn(bed.ctx, nil, []statekv.Op{{Set: job.RecordKey("wk-1"), Value: record}}); err != nil {
+		bed.t.Fatal(err)
+	}
+}
+
 // taskCount returns the number of tasks on a worker.
 func (bed *testbed) taskCount(w *emulator.Worker) (n int) {
 	bed.workers.WithLock(func() { n = len(w.Heartbeat.Tasks) })
