--- a/internal/changefeed/feed_test.go
+++ b/internal/changefeed/feed_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"robinstack/emulator"
 	"robinstack/internal/agentapi"
+	"robinstack/internal/shard"
+	"robinstack/internal/statekv"
 )
 
 // An incomplete answer must confirm nothing beyond what was confirmed before, and nothing at all if
@@ -71,3 +74,39 @@
 		t.Errorf("b has reported a later revision: got %v, want the zero time", got)
 	}
 }
+
+// Invariant ran_twice: a machine counts as confirmed by an entry of a former ownership, session or before reconciliation.
+func TestOnlyReconciledEntryOfPresentOwnershipConfirms(t *testing.T) {
+	state := emulator.NewStateService()
+	owner := statekv.Holder{Host: "a", Incarnation: 7}
+	rev, err := state.Txn(t.Context(), nil, []statekv.Op{
+		{Set: statekv.MachineShardPrefix + "a.1", Value: shard.Record{Holder: owner}},
+		{Set: statekv.MachinePrefix + "m1", Value: shard.MachineRecord{Shard: "a.1"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	mirror := statekv.NewMirror(state, []string{statekv.ClusterPrefix}, statekv.RootPrefix, time.Second, 0, nil)
+	if err := mirror.Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	kv, _ := mirror.Get(statekv.MachinePrefix + "m1")
+	for name, c := range map[string]struct {
+		incarnation, rev uint64
+		reconciled       bool
+		want             uint64
+	}{
+		"reconciled entry of the owner": {7, rev, true, 5},
+		"former ownership":              {7, rev - 1, true, 0},
+		"former session":                {6, rev, true, 0},
+		"not reconciled":                {7, rev, false, 0},
+	} {
+		f := New(nil, mirror, []string{"a"}, nil, nil)
+		entry := agentapi.MachineEntry{Machine: "m1", Host: "a", Rev: c.rev, Ver: 1, Settled: c.reconciled}
+		reply := agentapi.WatchReply{Instance: c.incarnation, Entries: []agentapi.MachineEntry{entry}}
+		f.apply("a", &agentapi.WatchRequest{MinRev: 5}, &reply, time.Now())
+		if got := f.Confirm(kv).Epoch; got != c.want {
+			t.Errorf("%s: got epoch %d confirmed, want %d", name, got, c.want)
+		}
+	}
+}
--- a/internal/clusteragent/commit_test.go
+++ b/internal/clusteragent/commit_test.go
@@ -196,3 +196,45 @@
 		})
 	}
 }
+
+// Invariant ran_twice: the copy of an unanswered commit arrives after the scheduler was told that it will start nothing.
+func TestCommitOfAbandonedAttemptIsRefused(t *testing.T) {
+	runScenario(t, func(t *testing.T, bed *testbed) {
+		n, w, epoch := bed.startOwner()
+		n.sendHeartbeat(w)
+		ref := agentapi.TaskRef{Job: "wk-1", Index: 0, Attempt: 1}
+		request := agentapi.ResolveRequest{Machine: "m1", Rev: n.entries()["m1"].Rev, Refs: []agentapi.TaskRef{ref}}
+		var reply agentapi.ResolveReply
+		if err := n.service.Void(request, &reply); err != nil || reply.Present[0] {
+			t.Fatalf("got present %v, error %v, want an abandoned attempt", reply.Present, err)
+		}
+		if got := n.commit("m1", "s", epoch, 0, 1); got != agentapi.Refused {
+			t.Errorf("late commit: got result %q, want %q", got, agentapi.Refused)
+		}
+		if got := n.commit("m1", "s", epoch, 0, 2); got != agentapi.Started {
+			t.Errorf("next attempt: got result %q, want %q", got, agentapi.Started)
+		}
+	})
+}
+
+// Invariant ran_twice: an owner whose mirror is behind its machine's registration knows no scheduler's latest epoch.
+func TestOwnerStartsNothingBeforeItsMirrorShowsTheOwnership(t *testing.T) {
+	runScenario(t, func(t *testing.T, bed *testbed) {
+		store := &refusingStore{Store: bed.state}
+		n := bed.startNodeWith(settings(), "host-0", store)
+		epoch := n.acquireJobShard("s", 0)
+		time.Sleep(time.Second)
+		w := bed.workers.Add("m1", "box", "a")
+		store.refuses.Store(true)
+		n.sendHeartbeat(w) // its claim is written, and the mirror does not show it
+		n.sendHeartbeat(w)
+		if got := n.commit("m1", "s", epoch, 0, 1); got != agentapi.Refused {
+			t.Errorf("before the mirror shows the ownership: got result %q, want %q", got, agentapi.Refused)
+		}
+		store.refuses.Store(false)
+		time.Sleep(3 * time.Second)
+		if got := n.commit("m1", "s", epoch, 0, 2); got != agentapi.Started {
+			t.Errorf("after that: got result %q, want %q", got, agentapi.Started)
+		}
+	})
+}
