--- a/internal/logline/renames.go
+++ b/internal/logline/renames.go
@@ -29,6 +29,7 @@
 	{Old: "task gone from machine", New: "task gone from machine"},
 	{Old: "task starts sent", New: TaskStartsSent},
 	{Old: "task attempt gone", New: "task attempt gone"},
+	{Old: "task attempt superseded", New: "task attempt superseded"},
 
 	// invariant
 	{Old: "invariant violated", New: InvariantViolated},
