--- a/internal/scheduler/gone.go
+++ b/internal/scheduler/gone.go
@@ -97,10 +97,11 @@
 // and does not know it yet), entries from before a takeover of the job shard, which count until it is
 // reconciled, and entries of former owners, also of machines that have been deleted since.
 func (s *Scheduler) checkSecondAttempt(entry *agentapi.MachineEntry, listed *agentapi.TaskEntry, j *jobState) {
-	task, held := &j.tasks[listed.Index], s.shards[j.shardID]
+	task := &j.tasks[listed.Index]
 	if !entry.Reconciled() || !task.onMachine() || task.machine == entry.Machine {
 		return
 	}
+	held := s.shards[j.shardID]
 	if held == nil || !held.reconciled || listed.Attempt>>epochAttemptBits > held.epoch {
 		return
 	}
--- a/internal/scheduler/job_records.go
+++ b/internal/scheduler/job_records.go
@@ -171,17 +171,17 @@
 		s.mirror.ReportUndecodable(event.Key(), err)
 		return
 	}
-	if s.isNewlyAccepted(id, record, event.Rev) {
+	if s.registerUnknownJob(id, record, event.Rev) {
 		record.KeepUnknownFields(event.Value)
 		s.OnJobAccepted(record, event.Rev)
 	}
 }
 
-// isNewlyAccepted reports whether the written record of an unknown job is that of a job which was
-// accepted into this controller's own job shard, so that no task of it can have been started. An
-// unknown job of an acquired shard could not be read when the shard was acquired, and an earlier
-// scheduler may have started its tasks: the jobs of that shard are loaded again.
-func (s *Scheduler) isNewlyAccepted(id string, record *job.Record, revision uint64) bool {
+// registerUnknownJob registers the written record of an unknown job with its job shard, and reports
+// whether the job was accepted into this controller's own shard, so that no task of it can have been
+// started. An unknown job of an acquired shard could not be read when the shard was acquired, and an
+// earlier scheduler may have started its tasks: the jobs of that shard are loaded again.
+func (s *Scheduler) registerUnknownJob(id string, record *job.Record, revision uint64) (accepted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	shard := s.shards[record.JobShard]
--- a/internal/scheduler/machine_entries.go
+++ b/internal/scheduler/machine_entries.go
@@ -74,7 +74,7 @@
 		s.checkSecondAttempt(entry, listed, j)
 	}
 	if task.supersedes(listed.Attempt, entry.Machine) || task.status == taskPending && ended {
-		// The attempt was given up as lost, but it was started after all.
+		// The attempt was given up, or the scheduler that started it did so before a later one.
 		if !ended {
 			task.logSuperseded(entry, listed)
 		}
--- a/internal/scheduler/task_state.go
+++ b/internal/scheduler/task_state.go
@@ -73,10 +73,10 @@
 	return t.status == taskPlaced || t.status == taskStopping
 }
 
-// supersedes reports whether an attempt that a machine lists must give way to the task's attempt:
-// it is an earlier one, or the same one on a machine other than the task's.
-// A scheduler begins an attempt only once all earlier ones are proven gone, so a listed attempt that
-// is later than the task's proves the task's attempt gone, in whatever order the entries arrive.
+// supersedes reports whether an attempt that a machine lists must give way to the task's attempt: it
+// is an earlier one, or the same one on a machine other than the task's. A scheduler begins an
+// attempt only once all earlier ones are proven gone, so a listed attempt that is later than the
+// task's proves the task's attempt gone, in whatever order the entries arrive.
 func (t *taskState) supersedes(attempt uint64, machine string) bool {
 	return t.status != taskPending && (t.attempt > attempt || t.attempt == attempt && t.machine != machine)
 }
--- a/tools/soak/cluster.go
+++ b/tools/soak/cluster.go
@@ -36,6 +36,18 @@
 	return out
 }
 
+// allPeers returns the links between all controllers, in both directions.
+func (l *links) allPeers() (out []*link) {
+	for caller, called := range l.peers {
+		for other, peerLink := range called {
+			if other != caller {
+				out = append(out, peerLink)
+			}
+		}
+	}
+	return out
+}
+
 // cluster is a whole service: controllers as processes, everything else in this process. mu guards
 // the fields below it.
 type cluster struct {
--- a/tools/soak/linkfaults.go
+++ b/tools/soak/linkfaults.go
@@ -36,17 +36,7 @@
 
 func cutPeers(c *cluster, f *Fault) injection { return cutLinks(f, c.links.ofPeers(f.host)...) }
 
-func cutAllPeers(c *cluster, f *Fault) injection {
-	var links []*link
-	for k := range c.nodes {
-		for _, l := range c.links.peers[k] {
-			if l != nil {
-				links = append(links, l)
-			}
-		}
-	}
-	return cutLinks(f, links...)
-}
+func cutAllPeers(c *cluster, f *Fault) injection { return cutLinks(f, c.links.allPeers()...) }
 
 func cutStateAndPeers(c *cluster, f *Fault) injection {
 	return cutLinks(f, append(c.links.ofPeers(f.host), c.links.state[f.host])...)
@@ -66,10 +56,7 @@
 func cutCloud(c *cluster, f *Fault) injection { return cutLinks(f, c.links.cloud...) }
 
 func slowPeers(c *cluster, f *Fault) injection {
-	var links []*link
-	for k := range c.nodes {
-		links = append(links, c.links.ofPeers(k)...)
-	}
+	links := c.links.allPeers()
 	for _, l := range links {
 		l.setDelay(f.delay / 2)
 	}
