clusteragent: two tests use the emulator's client with faults instead of a store of their own

refusingStore wrote again what emulator.FaultyStateClient has: requests of one controller that are refused, and watches that lag.

--- a/internal/clusteragent/commit_test.go
+++ b/internal/clusteragent/commit_test.go
@@ -220,19 +220,20 @@
 // Invariant ran_twice: an owner whose mirror is behind its machine's registration knows no scheduler's latest epoch.
 func TestOwnerStartsNothingBeforeItsMirrorShowsTheOwnership(t *testing.T) {
 	runScenario(t, func(t *testing.T, bed *testbed) {
-		store := &refusingStore{Store: bed.state}
+		store := emulator.NewFaultyStateClient(bed.state, 1)
 		n := bed.startNodeWith(settings(), "host-0", store)
 		epoch := n.acquireJobShard("s", 0)
 		time.Sleep(time.Second)
 		w := bed.workers.Add("m1", "box", "a")
-		store.refuses.Store(true)
-		n.sendHeartbeat(w) // its claim is written, and the mirror does not show it
+		store.SetWatchLag(4 * time.Second)
+		time.Sleep(1500 * time.Millisecond) // the watch in flight has ended
+		n.sendHeartbeat(w)                  // its claim is written, and the mirror does not show it
 		n.sendHeartbeat(w)
 		if got := n.commit("m1", "s", epoch, 0, 1); got != agentapi.Refused {
 			t.Errorf("before the mirror shows the ownership: got result %q, want %q", got, agentapi.Refused)
 		}
-		store.refuses.Store(false)
-		time.Sleep(3 * time.Second)
+		store.SetWatchLag(0)
+		time.Sleep(6 * time.Second)
 		if got := n.commit("m1", "s", epoch, 0, 2); got != agentapi.Started {
 			t.Errorf("after that: got result %q, want %q", got, agentapi.Started)
 		}
--- a/internal/clusteragent/liveness_test.go
+++ b/internal/clusteragent/liveness_test.go
@@ -1,13 +1,11 @@
 package clusteragent_test
 
 import (
-	"context"
-	"sync/atomic"
 	"testing"
 	"time"
 
+	"robinstack/emulator"
 	"robinstack/internal/agentapi"
-	"robinstack/internal/statekv"
 )
 
 // An agent without machines must not answer consecutive watches at once: its own change feed would
@@ -122,33 +120,10 @@
 	})
 }
 
-// refusingStore is a state service that refuses one controller alone.
-type refusingStore struct {
-	statekv.Store
-	refuses atomic.Bool
-}
-
-func (s *refusingStore) Renew(ctx context.Context, lease uint64) error {
-	if s.refuses.Load() {
-		return statekv.ErrRejected
-	}
-	return s.Store.Renew(ctx, lease)
-}
-
-func (s *refusingStore) Watch(
-	ctx context.Context, prefix string, since uint64, block time.Duration,
-) (statekv.WatchResponse, error) {
-	response, err := s.Store.Watch(ctx, prefix, since, block)
-	if s.refuses.Load() {
-		return statekv.WatchResponse{}, statekv.ErrRejected
-	}
-	return response, err
-}
-
 // Guards against ran_twice: an owner that does not know its successor takes tasks for gone that the successor keeps.
 func TestDeposedOwnerDoesNotExpireLeasesThatItsSuccessorRenews(t *testing.T) {
 	runScenario(t, func(t *testing.T, bed *testbed) {
-		store := &refusingStore{Store: bed.state}
+		store := emulator.NewFaultyStateClient(bed.state, 1)
 		a := bed.startNodeWith(settings(), "host-0", store)
 		epoch := a.acquireJobShard("s", 0)
 		w := bed.workers.Add("m1", "box", "a")
@@ -159,7 +134,7 @@
 			t.Fatalf("commit: got %q, want %q", got, agentapi.Started)
 		}
 		b := bed.startNode("host-1")
-		store.refuses.Store(true)
+		store.SetRejectAll(true)
 		if err := bed.state.Revoke(bed.ctx, 1); err != nil {
 			t.Fatal(err)
 		}
