--- a/review/standin2/cluster_test.go
+++ b/review/standin2/cluster_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -181,13 +182,19 @@
 	ClockOffMS float64          `json:"clock_off_ms"`
 }
 
+// freeAddress returns an address that nothing listens on. Its port is below those that outgoing connections get, so
+// that none of these takes it before the controller listens.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	const lowest, count, tries = 18000, 14000, 100
+	err := errors.New("no free port")
+	for range tries {
+		var listener net.Listener
+		if listener, err = net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(count))); err == nil {
+			defer func() { _ = listener.Close() }()
+			return listener.Addr().String(), nil
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", err
 }
 
 func serve(handler http.Handler) (string, error) {
