--- a/review/standin2/cases_test.go
+++ b/review/standin2/cases_test.go
@@ -22,7 +22,8 @@
 	"quota":  quotaAfterTakeover,
 	"polls":  pollsAfterCrash,
 	"leak":   quotaNeverReturned,
-	"spread": spreadGangAfterNotice,
+	"class":  classHeldBack,
+	"copies": quotaAfterCopies,
 }
 
 // TestScenario runs the case that REVIEW_CASE names. It is started by the run.sh of the case.
@@ -252,7 +253,7 @@
 			c.record.line("%s waits; machines on which a task of it has room, by zone: %v; its team uses %g GPUs",
 				s.ID, room, c.platform.teamGPUs(s.Team))
 			c.platform.mu.Unlock()
-			if total := total(room); total == 0 || s.Shape == "gang" && !suits(s, room) {
+			if total := total(room); total == 0 {
 				return unable, fmt.Errorf("the machines have no room for %s any more", s.ID)
 			}
 		}
@@ -268,17 +269,9 @@
 	return n
 }
 
-// suits reports whether a spread gang with one task a machine could start on the machines that have room.
-func suits(s *spec, room map[string]int) bool {
-	n := 0
-	for _, machines := range room {
-		n += min(machines, (s.Pieces+1)/2)
-	}
-	return n >= s.Pieces
-}
-
-// spreadGangAfterNotice: a gang that is spread over two zones runs; one of its machines is taken back after a notice.
-func spreadGangAfterNotice(r *recorder, program string, trouble bool) (int, error) {
+// classHeldBack: an array that is bound to one zone loses one of its machines there. A later array of the same kind has
+// room in another zone.
+func classHeldBack(r *recorder, program string, trouble bool) (int, error) {
 	f, k := meters()
 	c, err := newCluster(r, program, f, f.Zones, k)
 	if err != nil {
@@ -288,37 +281,77 @@
 	if err := c.begin("host-0"); err != nil {
 		return unable, err
 	}
-	sites := []string{"suva", "lautoka", "suva", "lautoka", "suva", "suva", "lautoka", "lautoka"}
+	sites := []string{"suva", "suva", "lautoka", "lautoka", "labasa"} // each controller owns machines
 	for number, site := range sites {
-		if err := c.platform.add(fmt.Sprintf("vm-%06d", number+1), site, true); err != nil {
+		if err := c.platform.add(fmt.Sprintf("vm-%06d", number+1), site, site != "labasa"); err != nil {
 			return unable, err
 		}
 	}
 	if !until(15*time.Second, func() bool { return c.platform.answeredOnce() == len(sites) }) {
 		return unable, fmt.Errorf("only %d machines were answered", c.platform.answeredOnce())
 	}
-	if !c.submit("host-1", keeper("wk-000001", "readers-desk", len(sites), true)) {
+	if !c.submit("host-1", keeper(keeperID, "readers-desk", len(sites), true)) {
 		return unable, fmt.Errorf("the service was not accepted")
 	}
-	if !until(20*time.Second, func() bool { return c.platform.count("wk-000001", "running") == len(sites) }) {
-		return unable, fmt.Errorf("only %d tasks of the service run", c.platform.count("wk-000001"))
+	if !until(20*time.Second, func() bool { return c.platform.count(keeperID, "running") == len(sites) }) {
+		return unable, fmt.Errorf("only %d tasks of the service run", c.platform.count(keeperID))
 	}
-	gang := &spec{
-		ID: "wk-000412", Class: "dial-train", Team: "readers-desk", Shape: "gang", Rank: "high", Pieces: 4, CPUs: 24, GPUs: 8,
-		MemoryGB: 410, Bundle: "img-train", PullGB: 0.25, Spread: true, Loaners: true, GuessS: 300, SnapshotS: 30, SaveS: 1,
-		runS: 300,
+	bound := func(id string) *spec {
+		return &spec{
+			ID: id, Class: "photo-infer", Team: "readers-desk", Shape: "sweep", Rank: "normal", Pieces: 2, CPUs: 24, GPUs: 8,
+			MemoryGB: 200, Bundle: "img-infer", PullGB: 0.25, OneZone: true, Loaners: true, GuessS: 300, SnapshotS: 10,
+			SaveS: 1, runS: 300,
+		}
 	}
-	if !c.submit("host-2", gang) {
-		return unable, fmt.Errorf("the gang was not accepted")
+	first, second := bound("wk-000412"), bound("wk-000417")
+	if !c.submit("host-2", first) {
+		return unable, fmt.Errorf("the first array was not accepted")
 	}
-	if !until(15*time.Second, func() bool { return c.platform.count(gang.ID, "running") == gang.Pieces }) {
-		return unable, fmt.Errorf("%d tasks of the gang run", c.platform.count(gang.ID, "running"))
+	if !until(15*time.Second, func() bool { return c.platform.count(first.ID, "running") == first.Pieces }) {
+		return unable, fmt.Errorf("%d tasks of the first array run", c.platform.count(first.ID, "running"))
 	}
-	time.Sleep(time.Second)
 	if trouble {
-		c.platform.notice("vm-000002", 5*time.Second)
+		taken := "vm-000002"
+		if c.platform.roomBySite(second)["suva"] > 0 {
+			taken = "vm-000004" // the first array runs in lautoka
+		}
+		c.platform.notice(taken, 5*time.Second)
+	}
+	if !c.submit("host-2", second) {
+		return unable, fmt.Errorf("the second array was not accepted")
+	}
+	return c.waitsTooLong(second)
+}
+
+// quotaAfterCopies: when a job of a team is done, copies of what its controller has sent to the leader arrive there.
+func quotaAfterCopies(r *recorder, program string, trouble bool) (int, error) {
+	const machines, limit = 4, 8
+	c, err := startHerbarium(r, program, machines)
+	if c != nil {
+		defer c.stop()
+	}
+	if err != nil {
+		return unable, err
 	}
-	return c.waitsTooLong(gang)
+	if !c.submit("host-2", reading("wk-000412", limit, 2)) {
+		return unable, fmt.Errorf("the first job was not accepted")
+	}
+	if !until(20*time.Second, func() bool {
+		return c.platform.doneCount("wk-000412") == limit && c.platform.listed("wk-000412") == 0
+	}) {
+		return unable, fmt.Errorf("%d tasks of the first job are done, %d still listed",
+			c.platform.doneCount("wk-000412"), c.platform.listed("wk-000412"))
+	}
+	time.Sleep(2 * time.Second) // until the workers' next reports have shown the owner that the tasks are forgotten
+	if trouble {
+		r.line("%d bytes that host-2 has sent to host-0 arrive there once more", c.peers["host-2"]["host-0"].repeat())
+		time.Sleep(time.Second)
+	}
+	next := reading("wk-000417", limit, 2)
+	if !c.submit("host-2", next) {
+		return unable, fmt.Errorf("the second job was not accepted")
+	}
+	return c.waitsTooLong(next)
 }
 
 // meters returns the settings of vitimeter-suva.
--- a/review/standin2/cluster_test.go
+++ b/review/standin2/cluster_test.go
@@ -42,20 +42,15 @@
 	fmt.Fprintf(r.file, "%7.2f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// elapsed returns the time since the start.
-func (r *recorder) elapsed() time.Duration { return time.Since(r.began) }
-
-// link carries connections to target. While it is cut, it resets the ones it has and those that are made. While it
-// holds, it keeps what is sent and delivers it in order once it holds no more.
+// link carries connections to target. While it is cut, it resets the ones it has and those that are made.
 type link struct {
 	listener net.Listener
 	target   string
 
-	mu      sync.Mutex
-	cut     bool
-	holding bool
-	conns   map[net.Conn]bool
-	resumed *sync.Cond
+	mu    sync.Mutex
+	cut   bool
+	conns map[net.Conn]bool
+	sent  map[net.Conn][]byte // what callers have sent, by connection
 }
 
 func newLink(target string) (*link, error) {
@@ -63,8 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{listener: listener, target: target, conns: map[net.Conn]bool{}}
-	l.resumed = sync.NewCond(&l.mu)
+	l := &link{listener: listener, target: target, conns: map[net.Conn]bool{}, sent: map[net.Conn][]byte{}}
 	go l.accept()
 	return l, nil
 }
@@ -106,8 +100,8 @@
 	l.conns[near], l.conns[far] = true, true
 	l.mu.Unlock()
 	var directions sync.WaitGroup
-	directions.Go(func() { l.copy(far, near) })
-	directions.Go(func() { l.copy(near, far) })
+	directions.Go(func() { l.copy(far, near, near) })
+	directions.Go(func() { l.copy(near, far, nil) })
 	directions.Wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -115,15 +109,16 @@
 	delete(l.conns, far)
 }
 
-func (l *link) copy(to, from net.Conn) {
+// copy copies one direction of a connection. What it copies is kept under caller, unless that is nil.
+func (l *link) copy(to, from, caller net.Conn) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		l.mu.Lock()
-		for l.holding {
-			l.resumed.Wait()
+		if caller != nil {
+			l.mu.Lock()
+			l.sent[caller] = append(l.sent[caller], buffer[:n]...)
+			l.mu.Unlock()
 		}
-		l.mu.Unlock()
 		if n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
@@ -137,6 +132,27 @@
 	}
 }
 
+// repeat sends what was sent over each connection once more, over new ones, and drops the answers. It returns the
+// number of bytes.
+func (l *link) repeat() (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, sent := range l.sent {
+		conn, err := net.Dial("tcp4", l.target)
+		if err != nil {
+			continue
+		}
+		n += len(sent)
+		go func() {
+			_, _ = conn.Write(sent)
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			_, _ = io.Copy(io.Discard, conn)
+			_ = conn.Close()
+		}()
+	}
+	return n
+}
+
 // setCut begins or ends a cut that resets connections.
 func (l *link) setCut(cut bool) {
 	l.mu.Lock()
